--- /dev/null
+++ b/include/jackdawwall/concurrency-limit.h
@@ -0,0 +1,76 @@
+/// Adaptive limit on the work in one target, found from the delay of completed calls alone. Each work kind
+/// has its own base time, learned only from calls that started while little else was in the target, so
+/// that the limit's own queueing never becomes the base.
+#pragma once
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+
+namespace jackdawwall {
+
+/// Hash of work kind and size bucket.
+using CostKey = std::uint64_t;
+
+struct LimitOptions {
+    double initial = 8; ///< Calls.
+    double minimum = 2; ///< Calls.
+    double maximum = 2048; ///< Calls.
+    double tolerance = 1.25; ///< Mean time over base time that still counts as free of queueing.
+    double quietShare = 0.7; ///< Calls started below this share of the limit teach the base.
+    int minimumSamples = 8; ///< Completions before a window is judged.
+    absl::Duration dipInterval = absl::Seconds(10); ///< Between lowered windows while saturated.
+};
+
+/// Times of one work kind in the target, in seconds.
+struct KindCost {
+    double base = 0; ///< Mean without queueing; 0 until the first sample.
+    double mean = 0; ///< Recent mean.
+    double count = 0; ///< Samples behind base, capped.
+};
+
+/// Completions since the last judgement.
+struct LimitWindow {
+    double timeSum = 0; ///< Seconds.
+    double baseSum = 0; ///< Seconds.
+    int samples = 0;
+    int targetRefusals = 0;
+    int peakInFlight = 0;
+};
+
+struct LimitState {
+    double limit = 0;
+    double ceiling = 0; ///< Limit before a dip.
+    double proven = 0; ///< Largest recent limit without queueing; a decrease stops at half of it.
+    bool isDipping = false;
+    bool hasSeenQueueing = false; ///< Ends the doubling of a cold start.
+    absl::Time nextDip = absl::InfinitePast();
+    LimitWindow window;
+    absl::flat_hash_map<CostKey, KindCost> costs;
+};
+
+/// State of a target about which nothing is known.
+LimitState makeLimitState(const LimitOptions& options);
+
+/// Notes a start so that the window knows whether the limit was reached.
+void noteStart(LimitState& state, int inFlight);
+
+/// Notes a whole run in the target. Refusals and connection failures must not be passed: their short times
+/// would raise the limit.
+void noteRun(LimitState& state, const LimitOptions& options, CostKey key, absl::Duration time,
+    int inFlightAtStart);
+
+/// Notes that the target itself refused a call.
+void noteTargetRefusal(LimitState& state);
+
+/// Judges the window and moves the limit; call it every 100 ms.
+void closeWindow(LimitState& state, const LimitOptions& options, absl::Time now);
+
+/// Calls that may be in the target at once.
+int currentLimit(const LimitState& state);
+
+/// Expected time of a call in the target; `fallback` until one was seen.
+absl::Duration expectedTime(const LimitState& state, CostKey key, absl::Duration fallback);
+
+} // namespace jackdawwall
--- /dev/null
+++ b/include/jackdawwall/fair-share.h
@@ -0,0 +1,78 @@
+/// Divides the capacity of one target between classes and callers. Classes are served in order; inside a
+/// class the callers share by weight (max-min fairness). The result is a fraction of ranks for each caller
+/// and class: a request is served when its rank lies below it. As the rank is the same at each hop and the
+/// fraction travels back on answers, the first hop refuses what a deep one would refuse.
+#pragma once
+
+#include "jackdawwall/core.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <limits>
+
+namespace jackdawwall {
+
+/// One caller's work of one class.
+struct ShareKey {
+    Priority priority = Priority::Bulk;
+    std::uint64_t caller = 0; ///< stableHash of the caller's name.
+
+    friend bool operator==(const ShareKey&, const ShareKey&) = default;
+    template <typename H> friend H AbslHashValue(H state, const ShareKey& key)
+    {
+        return H::combine(std::move(state), key.priority, key.caller);
+    }
+};
+
+/// Offered work of one key; work is in seconds of target time.
+struct ShareDemand {
+    double weight = 1;
+    double seen = 0; ///< This window, all ranks.
+    double seenBelow = 0; ///< This window, ranks below the fraction.
+    double demand = 0; ///< Smoothed, per second, before any refusal.
+    std::uint32_t fraction = kRankCount;
+    int idleWindows = 0;
+};
+
+/// How far the calls wait for the target.
+struct ShareOptions {
+    absl::Duration waitTarget = absl::Milliseconds(10); ///< Kept while capacity is divided.
+    int calmWindows = 10; ///< Windows without waiting before division ends.
+};
+
+struct ShareState {
+    absl::flat_hash_map<ShareKey, ShareDemand> demands;
+    bool isDividing = false;
+    double budget = std::numeric_limits<double>::infinity(); ///< Work per second.
+    int calm = 0;
+};
+
+/// What the target did in a window.
+struct ShareWindow {
+    absl::Duration length;
+    double completedWork = 0; ///< Seconds of target time.
+    absl::Duration wait; ///< Mean wait of the calls that started or are still waiting.
+};
+
+/// Ranks that nodes upstream always forward, so that a target that refuses all still learns the demand and
+/// its callers still learn when that is over.
+inline constexpr std::uint32_t kProbeRanks = 1;
+
+/// Ranks below this are forwarded by nodes upstream that know `fraction`.
+std::uint32_t forwardedFraction(std::uint32_t fraction);
+
+/// Largest fraction that may follow `fraction` one window later: opening in steps sends no crowd.
+std::uint32_t raisedFraction(std::uint32_t fraction);
+
+/// Notes an offered call, whether it is served or not.
+void noteOffer(ShareState& state, const ShareKey& key, double weight, std::uint32_t rank, double work);
+
+/// Moves the budget and divides it anew; call it once a window.
+void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window);
+
+/// Ranks below this are served, 0 to kRankCount.
+std::uint32_t admittedFraction(const ShareState& state, const ShareKey& key);
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/adapter/exchange.cc
@@ -0,0 +1,385 @@
+#include "adapter/exchange.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+#include "absl/strings/strip.h"
+#include "absl/time/clock.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <stdexcept>
+
+namespace jackdawwall {
+namespace {
+
+constexpr long kConnectTimeoutMs = 500;
+constexpr unsigned kUnacknowledgedTimeoutMs = 500;
+constexpr long kContinueTimeoutMs = 60000;
+constexpr absl::Duration kLongestWait = absl::Milliseconds(200);
+
+template <typename Value> void setOption(CURL* easy, CURLoption option, Value value)
+{
+    const CURLcode code = curl_easy_setopt(easy, option, value);
+    if (code != CURLE_OK)
+        throw std::runtime_error(absl::StrCat("curl option ", static_cast<int>(option), ": ",
+            curl_easy_strerror(code)));
+}
+
+curl_slist* makeHeaders(const ExchangeRequest& request)
+{
+    curl_slist* list = nullptr;
+    for (const HttpHeader& header : request.headers) {
+        // An empty value needs ';', else curl removes the header.
+        const std::string line = header.value.empty() ? absl::StrCat(header.name, ";")
+                                                      : absl::StrCat(header.name, ": ", header.value);
+        list = curl_slist_append(list, line.c_str());
+    }
+    list = curl_slist_append(list, request.waitsForContinue ? "Expect: 100-continue" : "Expect:");
+    return curl_slist_append(list, "User-Agent:");
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Exchange>> Exchange::create()
+{
+    CURLM* multi = curl_multi_init();
+    CURL* easy = curl_easy_init();
+    if (multi == nullptr || easy == nullptr) {
+        curl_multi_cleanup(multi);
+        curl_easy_cleanup(easy);
+        return absl::ResourceExhaustedError("no memory for an HTTP exchange");
+    }
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, 1L);
+    return std::unique_ptr<Exchange>(new Exchange(multi, easy));
+}
+
+Exchange::Exchange(CURLM* multi, CURL* easy)
+    : multi_(multi)
+    , easy_(easy)
+{
+}
+
+Exchange::~Exchange()
+{
+    if (isAdded_)
+        curl_multi_remove_handle(multi_, easy_);
+    curl_slist_free_all(requestHeaders_);
+    curl_easy_cleanup(easy_);
+    curl_multi_cleanup(multi_);
+}
+
+std::size_t Exchange::onWrite(char* data, std::size_t size, std::size_t count, void* self)
+{
+    auto* exchange = static_cast<Exchange*>(self);
+    const std::size_t bytes = size * count;
+    if (!exchange->received_.empty() && exchange->received_.size() + bytes > kAnswerBufferBytes) {
+        exchange->isWritePaused_ = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    exchange->received_.append(data, bytes);
+    return bytes;
+}
+
+std::size_t Exchange::onRead(char* buffer, std::size_t size, std::size_t count, void* self)
+{
+    auto* exchange = static_cast<Exchange*>(self);
+    exchange->isAskedForBody_ = true;
+    if (exchange->toSend_.empty()) {
+        if (exchange->isBodyEnded_)
+            return 0;
+        exchange->isReadPaused_ = true;
+        return CURL_READFUNC_PAUSE;
+    }
+    const std::size_t bytes = std::min(size * count, exchange->toSend_.size());
+    std::memcpy(buffer, exchange->toSend_.data(), bytes);
+    exchange->toSend_.remove_prefix(bytes);
+    return bytes;
+}
+
+void Exchange::addHeaderLine(absl::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == absl::string_view::npos)
+        return;
+    const absl::string_view value = absl::StripAsciiWhitespace(line.substr(colon + 1));
+    headers_.push_back({ std::string(line.substr(0, colon)), std::string(value) });
+}
+
+std::size_t Exchange::onHeader(char* data, std::size_t size, std::size_t count, void* self)
+{
+    auto* exchange = static_cast<Exchange*>(self);
+    const absl::string_view line(data, size * count);
+    if (line.substr(0, 5) == "HTTP/") {
+        exchange->headers_.clear();
+        return line.size();
+    }
+    if (line != "\r\n" && line != "\n") {
+        exchange->addHeaderLine(line);
+        return line.size();
+    }
+    long status = 0;
+    curl_easy_getinfo(exchange->easy_, CURLINFO_RESPONSE_CODE, &status);
+    if (status >= 200) {
+        exchange->status_ = static_cast<int>(status);
+        exchange->hasHead_ = true;
+        const absl::string_view length = findHeader(exchange->headers_, "Content-Length");
+        if (!absl::SimpleAtoi(length, &exchange->answerBytes_))
+            exchange->answerBytes_ = -1;
+    }
+    return line.size();
+}
+
+int Exchange::onReady(void* self, char* /*remote*/, char* /*local*/, int /*remotePort*/, int /*localPort*/)
+{
+    auto* exchange = static_cast<Exchange*>(self);
+    // libcurl sends a request again by itself when a kept connection dies without an answer. The target
+    // may have run it, so the decision is not libcurl's.
+    if (exchange->wasHandedOver_)
+        return CURL_PREREQFUNC_ABORT;
+    exchange->wasHandedOver_ = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+int Exchange::onSocket(void* /*self*/, curl_socket_t socket, curlsocktype /*purpose*/)
+{
+    const unsigned timeout = kUnacknowledgedTimeoutMs;
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    return CURL_SOCKOPT_OK;
+}
+
+void Exchange::setBodyOptions(const ExchangeRequest& request)
+{
+    if (request.isStreamed) {
+        setOption(easy_, CURLOPT_UPLOAD, 1L);
+        setOption(easy_, CURLOPT_READFUNCTION, &Exchange::onRead);
+        setOption(easy_, CURLOPT_READDATA, this);
+        setOption(easy_, CURLOPT_INFILESIZE_LARGE, static_cast<curl_off_t>(request.streamBytes));
+        setOption(easy_, CURLOPT_EXPECT_100_TIMEOUT_MS, kContinueTimeoutMs);
+    } else if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        setOption(easy_, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        setOption(easy_, CURLOPT_POSTFIELDS, request.body.data() == nullptr ? "" : request.body.data());
+    } else if (request.method == "HEAD") {
+        setOption(easy_, CURLOPT_NOBODY, 1L);
+    }
+    setOption(easy_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+}
+
+void Exchange::setOptions(const ExchangeRequest& request)
+{
+    curl_easy_reset(easy_);
+    curl_slist_free_all(requestHeaders_);
+    requestHeaders_ = makeHeaders(request);
+    setOption(easy_, CURLOPT_URL, request.url.c_str());
+    setOption(easy_, CURLOPT_PATH_AS_IS, 1L);
+    setOption(easy_, CURLOPT_HTTPHEADER, requestHeaders_);
+    setOption(easy_, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    setOption(easy_, CURLOPT_PROTOCOLS_STR, "http");
+    setOption(easy_, CURLOPT_PROXY, "");
+    setOption(easy_, CURLOPT_NOSIGNAL, 1L);
+    setOption(easy_, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+    setOption(easy_, CURLOPT_FRESH_CONNECT, request.needsFreshConnection ? 1L : 0L);
+    setOption(easy_, CURLOPT_WRITEFUNCTION, &Exchange::onWrite);
+    setOption(easy_, CURLOPT_WRITEDATA, this);
+    setOption(easy_, CURLOPT_HEADERFUNCTION, &Exchange::onHeader);
+    setOption(easy_, CURLOPT_HEADERDATA, this);
+    setOption(easy_, CURLOPT_PREREQFUNCTION, &Exchange::onReady);
+    setOption(easy_, CURLOPT_PREREQDATA, this);
+    setOption(easy_, CURLOPT_SOCKOPTFUNCTION, &Exchange::onSocket);
+    setBodyOptions(request);
+}
+
+void Exchange::start(const ExchangeRequest& request)
+{
+    if (isAdded_)
+        throw std::logic_error("an exchange is started while another one runs");
+    setOptions(request);
+    hasHead_ = false;
+    wasHandedOver_ = false;
+    isBroken_ = false;
+    isAskedForBody_ = false;
+    isReadPaused_ = false;
+    isWritePaused_ = false;
+    isBodyEnded_ = false;
+    isHeadRequest_ = request.method == "HEAD";
+    end_ = ExchangeEnd::Running;
+    status_ = 0;
+    answerBytes_ = -1;
+    headers_.clear();
+    received_.clear();
+    toSend_ = {};
+    deadline_ = request.deadline;
+    watchedSocket_ = request.watchedSocket;
+    curl_multi_add_handle(multi_, easy_);
+    isAdded_ = true;
+    perform();
+}
+
+bool Exchange::isAnswerFramed() const
+{
+    if (isHeadRequest_ || status_ == 204 || status_ == 304 || answerBytes_ >= 0)
+        return true;
+    return absl::EndsWithIgnoreCase(findHeader(headers_, "Transfer-Encoding"), "chunked");
+}
+
+ExchangeEnd Exchange::classify(CURLcode code) const
+{
+    if (code == CURLE_OK)
+        return isAnswerFramed() ? ExchangeEnd::Complete : ExchangeEnd::Truncated;
+    if (!wasHandedOver_)
+        return ExchangeEnd::NotSent;
+    return hasHead_ ? ExchangeEnd::Truncated : ExchangeEnd::Lost;
+}
+
+void Exchange::finish(CURLcode code)
+{
+    isBroken_ = code != CURLE_OK;
+    end_ = classify(code);
+    curl_multi_remove_handle(multi_, easy_);
+    isAdded_ = false;
+    lastUsed_ = absl::Now();
+}
+
+void Exchange::collectResult()
+{
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            finish(message->data.result);
+            return;
+        }
+    }
+}
+
+void Exchange::perform()
+{
+    if (!isAdded_)
+        return;
+    int running = 0;
+    curl_multi_perform(multi_, &running);
+    collectResult();
+}
+
+void Exchange::cancel(ExchangeEnd end)
+{
+    if (!isAdded_)
+        return;
+    curl_multi_remove_handle(multi_, easy_);
+    isAdded_ = false;
+    isBroken_ = true;
+    const bool isTimeout = end == ExchangeEnd::TimedOut;
+    end_ = isTimeout && !wasHandedOver_ ? ExchangeEnd::NotSent : end;
+}
+
+bool Exchange::isWatchedSocketClosed()
+{
+    char byte = 0;
+    const ssize_t got = recv(watchedSocket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0)
+        watchedSocket_ = -1; // The next request is already there: the caller is alive.
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void Exchange::wait(absl::Time until)
+{
+    const absl::Time now = absl::Now();
+    if (now >= deadline_) {
+        cancel(ExchangeEnd::TimedOut);
+        return;
+    }
+    const absl::Duration left = std::min({ deadline_ - now, until - now, kLongestWait });
+    const auto timeoutMs = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(left, absl::Milliseconds(1))));
+    curl_waitfd watched { watchedSocket_, CURL_WAIT_POLLIN, 0 };
+    curl_multi_poll(multi_, &watched, watchedSocket_ >= 0 ? 1 : 0, std::max(0, timeoutMs), nullptr);
+    if (watched.revents != 0 && isWatchedSocketClosed())
+        cancel(ExchangeEnd::Cancelled);
+}
+
+template <typename Condition> void Exchange::driveUntil(Condition condition)
+{
+    while (isAdded_ && !condition()) {
+        wait(absl::InfiniteFuture());
+        perform();
+    }
+}
+
+bool Exchange::awaitContinue()
+{
+    driveUntil([this] { return isAskedForBody_ || hasHead_; });
+    return isAdded_ && isAskedForBody_ && !hasHead_;
+}
+
+bool Exchange::sendBody(absl::Span<const char> part)
+{
+    toSend_ = part;
+    if (isAdded_ && isReadPaused_) {
+        isReadPaused_ = false;
+        curl_easy_pause(easy_, CURLPAUSE_CONT);
+    }
+    perform();
+    driveUntil([this] { return toSend_.empty() || hasHead_; });
+    const bool isSent = toSend_.empty();
+    toSend_ = {};
+    return isSent && isAdded_;
+}
+
+void Exchange::endBody()
+{
+    isBodyEnded_ = true;
+    if (isAdded_ && isReadPaused_) {
+        isReadPaused_ = false;
+        curl_easy_pause(easy_, CURLPAUSE_CONT);
+    }
+    perform();
+}
+
+bool Exchange::awaitHead()
+{
+    driveUntil([this] { return hasHead_; });
+    // One more turn often completes a small answer, whose rest is already there.
+    perform();
+    return hasHead_ && (isAdded_ || end_ == ExchangeEnd::Complete || !received_.empty());
+}
+
+bool Exchange::awaitWhole()
+{
+    driveUntil([this] { return isWritePaused_; });
+    return end_ == ExchangeEnd::Complete;
+}
+
+void Exchange::awaitEither(Exchange* other, absl::Time until)
+{
+    const auto isSettled = [](const Exchange* exchange) {
+        return exchange->hasHead_ || !exchange->isAdded_;
+    };
+    while (!isSettled(this) && absl::Now() < until) {
+        if (other != nullptr && isSettled(other))
+            return;
+        const bool isPolledInTurns = other != nullptr;
+        wait(isPolledInTurns ? std::min(until, absl::Now() + absl::Milliseconds(1)) : until);
+        perform();
+        if (other != nullptr)
+            other->perform();
+    }
+}
+
+std::size_t Exchange::read(absl::Span<char> part)
+{
+    if (received_.empty() && isWritePaused_ && isAdded_) {
+        isWritePaused_ = false;
+        curl_easy_pause(easy_, CURLPAUSE_CONT);
+    }
+    driveUntil([this] { return !received_.empty(); });
+    const std::size_t bytes = std::min(part.size(), received_.size());
+    std::memcpy(part.data(), received_.data(), bytes);
+    received_.erase(0, bytes);
+    return bytes;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/adapter/http-server.cc
@@ -0,0 +1,324 @@
+#include "adapter/http-server.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+
+namespace jackdawwall {
+
+struct HttpServer::Shared {
+    Opener opener;
+    std::atomic<int> active { 0 };
+    std::atomic<std::uint64_t> begun { 0 };
+    std::atomic<bool> isClosing { false };
+};
+
+namespace {
+
+constexpr std::size_t kStreamBlockBytes = 32U << 10;
+constexpr std::size_t kThreadStackBytes = 256U << 10;
+constexpr unsigned kBacklog = 1024;
+
+/// One request inside the library's callbacks.
+struct Entry {
+    HttpServer::Shared* shared;
+    std::unique_ptr<HttpSession> session;
+    std::string target;
+    bool hasBegun = false;
+    bool isCounted = false;
+};
+
+struct Stream {
+    std::function<std::ptrdiff_t(absl::Span<char>)> read;
+};
+
+MHD_Result addHeader(void* cls, MHD_ValueKind /*kind*/, const char* key, const char* value)
+{
+    auto* headers = static_cast<std::vector<HttpHeader>*>(cls);
+    headers->push_back({ key, value == nullptr ? "" : value });
+    return MHD_YES;
+}
+
+std::int64_t declaredBytes(const std::vector<HttpHeader>& headers)
+{
+    std::int64_t bytes = 0;
+    if (absl::SimpleAtoi(findHeader(headers, "Content-Length"), &bytes))
+        return bytes;
+    return findHeader(headers, "Transfer-Encoding").empty() ? 0 : -1;
+}
+
+int socketOf(MHD_Connection* connection)
+{
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
+HttpHead headOf(MHD_Connection* connection, const char* url, const char* method, const std::string& target)
+{
+    HttpHead head;
+    head.method = method;
+    head.path = url;
+    head.target = target;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader, &head.headers);
+    head.bodyBytes = declaredBytes(head.headers);
+    head.socket = socketOf(connection);
+    return head;
+}
+
+ssize_t readStream(void* cls, std::uint64_t /*position*/, char* buffer, std::size_t size)
+{
+    const std::ptrdiff_t bytes = static_cast<Stream*>(cls)->read(absl::MakeSpan(buffer, size));
+    if (bytes > 0)
+        return bytes;
+    return bytes == 0 ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+void freeStream(void* cls) { delete static_cast<Stream*>(cls); }
+
+MHD_Response* makeResponse(HttpReply& reply)
+{
+    if (!reply.stream)
+        return MHD_create_response_from_buffer(reply.body.size(), reply.body.data(), MHD_RESPMEM_MUST_COPY);
+    const std::uint64_t size
+        = reply.streamBytes < 0 ? MHD_SIZE_UNKNOWN : static_cast<std::uint64_t>(reply.streamBytes);
+    return MHD_create_response_from_callback(
+        size, kStreamBlockBytes, &readStream, new Stream { std::move(reply.stream) }, &freeStream);
+}
+
+MHD_Result queueReply(MHD_Connection* connection, const Entry& entry, HttpReply reply)
+{
+    MHD_Response* response = makeResponse(reply);
+    if (response == nullptr)
+        return MHD_NO;
+    for (const HttpHeader& header : reply.headers)
+        MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+    if (entry.shared->isClosing)
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    const MHD_Result result
+        = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+HttpReply failedReply(const std::exception& error)
+{
+    HttpReply reply;
+    reply.status = 500;
+    reply.body = absl::StrCat(error.what(), "\n");
+    return reply;
+}
+
+MHD_Result beginRequest(MHD_Connection* connection, Entry& entry, const char* url, const char* method)
+{
+    entry.hasBegun = true;
+    entry.isCounted = true;
+    ++entry.shared->active;
+    ++entry.shared->begun;
+    entry.session = entry.shared->opener(headOf(connection, url, method, entry.target));
+    std::unique_ptr<HttpReply> refusal = entry.session->begin();
+    if (refusal)
+        return queueReply(connection, entry, std::move(*refusal));
+    return MHD_YES;
+}
+
+MHD_Result continueRequest(
+    MHD_Connection* connection, Entry& entry, const char* data, std::size_t* size)
+{
+    if (*size == 0)
+        return queueReply(connection, entry, entry.session->finish());
+    entry.session->body(absl::MakeSpan(data, *size));
+    *size = 0;
+    return MHD_YES;
+}
+
+MHD_Result onRequest(void* /*cls*/, MHD_Connection* connection, const char* url, const char* method,
+    const char* /*version*/, const char* data, std::size_t* size, void** context)
+{
+    auto* entry = static_cast<Entry*>(*context);
+    try {
+        if (!entry->hasBegun)
+            return beginRequest(connection, *entry, url, method);
+        return continueRequest(connection, *entry, data, size);
+    } catch (const std::exception& error) {
+        return *size == 0 ? queueReply(connection, *entry, failedReply(error)) : MHD_NO;
+    }
+}
+
+void* onTarget(void* cls, const char* target, MHD_Connection* /*connection*/)
+{
+    auto entry = std::make_unique<Entry>();
+    entry->shared = static_cast<HttpServer::Shared*>(cls);
+    entry->target = target;
+    return entry.release();
+}
+
+void onCompleted(void* /*cls*/, MHD_Connection* /*connection*/, void** context,
+    MHD_RequestTerminationCode /*code*/)
+{
+    const std::unique_ptr<Entry> entry(static_cast<Entry*>(*context));
+    *context = nullptr;
+    if (!entry)
+        return;
+    entry->session.reset();
+    if (entry->isCounted)
+        --entry->shared->active;
+}
+
+absl::StatusOr<sockaddr_in> parseAddress(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    sockaddr_in parsed {};
+    parsed.sin_family = AF_INET;
+    int port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port)
+        || inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed.sin_addr) != 1)
+        return absl::InvalidArgumentError(absl::StrCat("not an address: ", address));
+    parsed.sin_port = htons(static_cast<std::uint16_t>(port));
+    return parsed;
+}
+
+MHD_Daemon* startDaemon(
+    const HttpServerOptions& options, sockaddr_in* address, HttpServer::Shared* shared)
+{
+    constexpr unsigned kFlags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
+        | MHD_USE_POLL | MHD_USE_ITC;
+    return MHD_start_daemon(kFlags, 0, nullptr, nullptr, &onRequest, shared, MHD_OPTION_SOCK_ADDR, address,
+        MHD_OPTION_URI_LOG_CALLBACK, &onTarget, shared, MHD_OPTION_NOTIFY_COMPLETED, &onCompleted, shared,
+        MHD_OPTION_CONNECTION_LIMIT, options.connectionLimit, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(absl::ToInt64Seconds(options.idleTimeout)),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.headBytes, MHD_OPTION_THREAD_STACK_SIZE,
+        kThreadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE, kBacklog, MHD_OPTION_END);
+}
+
+/// Collects a whole body.
+class WholeSession : public HttpSession {
+public:
+    WholeSession(
+        HttpHead head, std::size_t longestBody, const std::function<HttpReply(const HttpRequest&)>& handler)
+        : request_ { std::move(head), "" }
+        , longestBody_(longestBody)
+        , handler_(handler)
+    {
+    }
+
+    std::unique_ptr<HttpReply> begin() override
+    {
+        if (request_.head.bodyBytes <= static_cast<std::int64_t>(longestBody_))
+            return nullptr;
+        return std::make_unique<HttpReply>(tooLong());
+    }
+
+    void body(absl::Span<const char> part) override
+    {
+        isTooLong_ = isTooLong_ || request_.body.size() + part.size() > longestBody_;
+        if (!isTooLong_)
+            request_.body.append(part.data(), part.size());
+    }
+
+    HttpReply finish() override { return isTooLong_ ? tooLong() : handler_(request_); }
+
+private:
+    static HttpReply tooLong()
+    {
+        HttpReply reply;
+        reply.status = 413;
+        reply.body = "the body is too long\n";
+        return reply;
+    }
+
+    HttpRequest request_;
+    std::size_t longestBody_;
+    const std::function<HttpReply(const HttpRequest&)>& handler_;
+    bool isTooLong_ = false;
+};
+
+std::string percentDecoded(absl::string_view text)
+{
+    std::string copy(text);
+    std::replace(copy.begin(), copy.end(), '+', ' ');
+    MHD_http_unescape(copy.data());
+    copy.resize(std::char_traits<char>::length(copy.c_str()));
+    return copy;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::start(const HttpServerOptions& options, Opener opener)
+{
+    absl::StatusOr<sockaddr_in> address = parseAddress(options.address);
+    if (!address.ok())
+        return address.status();
+    auto shared = std::make_unique<Shared>();
+    shared->opener = std::move(opener);
+    MHD_Daemon* daemon = startDaemon(options, &*address, shared.get());
+    if (daemon == nullptr)
+        return absl::UnavailableError(absl::StrCat("can't listen on ", options.address));
+    const auto* info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
+    const std::string host = options.address.substr(0, options.address.rfind(':'));
+    return std::unique_ptr<HttpServer>(
+        new HttpServer(std::move(shared), daemon, absl::StrCat(host, ":", info->port)));
+}
+
+HttpServer::HttpServer(std::unique_ptr<Shared> shared, MHD_Daemon* daemon, std::string address)
+    : shared_(std::move(shared))
+    , daemon_(daemon)
+    , address_(std::move(address))
+{
+}
+
+HttpServer::~HttpServer() { stop(); }
+
+int HttpServer::active() const { return shared_->active; }
+
+std::uint64_t HttpServer::begun() const { return shared_->begun; }
+
+void HttpServer::closeAfterAnswers() { shared_->isClosing = true; }
+
+void HttpServer::stopAccepting()
+{
+    if (daemon_ != nullptr && quiescedSocket_ < 0)
+        quiescedSocket_ = MHD_quiesce_daemon(daemon_);
+}
+
+void HttpServer::stop()
+{
+    if (daemon_ == nullptr)
+        return;
+    MHD_stop_daemon(daemon_);
+    daemon_ = nullptr;
+    if (quiescedSocket_ >= 0)
+        close(quiescedSocket_);
+}
+
+HttpServer::Opener wholeRequests(
+    std::size_t longestBody, std::function<HttpReply(const HttpRequest&)> handler)
+{
+    return [longestBody, handler = std::move(handler)](HttpHead head) {
+        return std::make_unique<WholeSession>(std::move(head), longestBody, handler);
+    };
+}
+
+std::string queryValue(absl::string_view target, absl::string_view name)
+{
+    const std::size_t question = target.find('?');
+    if (question == absl::string_view::npos)
+        return "";
+    for (const absl::string_view part : absl::StrSplit(target.substr(question + 1), '&')) {
+        const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+        if (pair.first == name)
+            return percentDecoded(pair.second);
+    }
+    return "";
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,254 @@
+#include "jackdawwall/admission.h"
+
+#include "absl/strings/string_view.h"
+
+#include <algorithm>
+
+namespace jackdawwall {
+namespace {
+
+constexpr double kMeanWeight = 0.02;
+constexpr std::uint64_t kSmallBodyBytes = 64ULL << 10;
+constexpr std::uint64_t kMediumBodyBytes = 1ULL << 20;
+
+double expectedSeconds(const AdmissionState& state, CostKey cost)
+{
+    return absl::ToDoubleSeconds(expectedTime(state.limit, cost, state.options.unknownTime));
+}
+
+bool isLongKind(const AdmissionState& state, CostKey cost)
+{
+    if (state.meanTime == 0)
+        return false;
+    return expectedSeconds(state, cost) > state.options.longFactor * state.meanTime;
+}
+
+int longLimit(const AdmissionState& state)
+{
+    const int limit = currentLimit(state.limit);
+    const int reserve = static_cast<int>(state.options.shortReserve * limit);
+    return std::max(1, limit - std::max(1, reserve));
+}
+
+bool hasRoom(const AdmissionState& state, bool isLong)
+{
+    if (inFlight(state) >= currentLimit(state.limit))
+        return false;
+    return !isLong || state.longInFlight < longLimit(state);
+}
+
+void start(AdmissionState& state, const OfferedCall& call, bool isLong, absl::Time now)
+{
+    const RunningCall running { call.cost, now, inFlight(state), isLong };
+    state.running.emplace(call.id, running);
+    state.longInFlight += isLong ? 1 : 0;
+    ++state.startedCount;
+    noteStart(state.limit, inFlight(state));
+}
+
+double nextFinishTag(AdmissionState& state, const OfferedCall& call)
+{
+    double& tag = state.finishTags[call.caller];
+    tag = std::max(state.virtualTime, tag) + expectedSeconds(state, call.cost) / std::max(call.weight, 0.01);
+    return tag;
+}
+
+void removeWaiting(AdmissionState& state, CallId id)
+{
+    const auto found = state.waiting.find(id);
+    state.queue.erase(found->second.order);
+    state.waiting.erase(found);
+    if (state.waiting.empty())
+        state.finishTags.clear();
+}
+
+void enqueue(AdmissionState& state, const OfferedCall& call, bool isLong, absl::Time now)
+{
+    const QueueOrder order { call.priority, isLong, nextFinishTag(state, call), call.id };
+    state.queue.insert(order);
+    state.waiting.emplace(call.id, WaitingCall { call, order, now });
+}
+
+std::size_t queueLimit(const AdmissionState& state)
+{
+    return state.options.queueFactor * static_cast<std::size_t>(currentLimit(state.limit));
+}
+
+/// First waiting call that may start now; the end when there is none.
+absl::btree_set<QueueOrder>::iterator nextRunnable(AdmissionState& state)
+{
+    if (inFlight(state) >= currentLimit(state.limit))
+        return state.queue.end();
+    const bool isLongFull = state.longInFlight >= longLimit(state);
+    return std::find_if(state.queue.begin(), state.queue.end(),
+        [&](const QueueOrder& order) { return !order.isLong || !isLongFull; });
+}
+
+void startWaiting(AdmissionState& state, absl::Time now, Release& release)
+{
+    for (auto next = nextRunnable(state); next != state.queue.end(); next = nextRunnable(state)) {
+        const QueueOrder order = *next;
+        const WaitingCall waiting = state.waiting.at(order.id);
+        state.virtualTime = std::max(state.virtualTime, order.finishTag);
+        state.waitSum += now - waiting.since;
+        removeWaiting(state, order.id);
+        start(state, waiting.call, order.isLong, now);
+        release.started.push_back(order.id);
+    }
+}
+
+Reason lateReason(const AdmissionState& state, const WaitingCall& waiting, absl::Time now)
+{
+    const absl::Duration needed = absl::Seconds(expectedSeconds(state, waiting.call.cost));
+    if (now + needed > waiting.call.deadline)
+        return Reason::Deadline;
+    if (now - waiting.since > state.options.longestWait)
+        return Reason::Overload;
+    return Reason::None;
+}
+
+void refuseLate(AdmissionState& state, absl::Time now, Release& release)
+{
+    const std::size_t before = release.refused.size();
+    for (const auto& [id, waiting] : state.waiting) {
+        const Reason reason = lateReason(state, waiting, now);
+        if (reason != Reason::None)
+            release.refused.push_back({ id, reason });
+    }
+    for (std::size_t index = before; index < release.refused.size(); ++index)
+        removeWaiting(state, release.refused[index].id);
+}
+
+absl::Duration meanWait(const AdmissionState& state, absl::Time now)
+{
+    absl::Duration sum = state.waitSum;
+    for (const auto& [id, waiting] : state.waiting)
+        sum += now - waiting.since;
+    const auto count = static_cast<std::int64_t>(state.startedCount + state.waiting.size());
+    return count == 0 ? absl::ZeroDuration() : sum / count;
+}
+
+/// Counts calls that outlast their kind by far as long while they run, so that a kind can't pass for short.
+void reclassifyRunning(AdmissionState& state, absl::Time now)
+{
+    if (state.meanTime == 0)
+        return;
+    const absl::Duration longAfter = absl::Seconds(2 * state.options.longFactor * state.meanTime);
+    for (auto& [id, running] : state.running) {
+        if (running.isLong || now - running.since < longAfter)
+            continue;
+        running.isLong = true;
+        ++state.longInFlight;
+    }
+}
+
+void endWindow(AdmissionState& state, absl::Time now)
+{
+    const ShareWindow window { now - state.windowStart, state.completedWork, meanWait(state, now) };
+    divideCapacity(state.share, state.options.share, window);
+    closeWindow(state.limit, state.options.limit, now);
+    reclassifyRunning(state, now);
+    state.windowStart = now;
+    state.completedWork = 0;
+    state.waitSum = absl::ZeroDuration();
+    state.startedCount = 0;
+}
+
+void noteCompleted(AdmissionState& state, const RunningCall& running, absl::Time now)
+{
+    const absl::Duration time = now - running.since;
+    noteRun(state.limit, state.options.limit, running.cost, time, running.inFlightAtStart);
+    state.completedWork += expectedSeconds(state, running.cost);
+    const double seconds = absl::ToDoubleSeconds(time);
+    state.meanTime = state.meanTime == 0 ? seconds : state.meanTime + kMeanWeight * (seconds - state.meanTime);
+}
+
+} // namespace
+
+AdmissionState makeAdmissionState(const AdmissionOptions& options)
+{
+    AdmissionState state;
+    state.options = options;
+    state.limit = makeLimitState(options.limit);
+    return state;
+}
+
+Decision offerCall(AdmissionState& state, const OfferedCall& call, absl::Time now)
+{
+    if (state.isDraining)
+        return { Verdict::Refuse, Reason::Leaving };
+    const ShareKey key { call.priority, call.caller };
+    noteOffer(state.share, key, call.weight, call.rank, expectedSeconds(state, call.cost));
+    if (now + absl::Seconds(expectedSeconds(state, call.cost)) > call.deadline)
+        return { Verdict::Refuse, Reason::Deadline };
+    if (call.rank >= admittedFraction(state.share, key))
+        return { Verdict::Refuse, Reason::Overload };
+    const bool isLong = isLongKind(state, call.cost);
+    if (state.queue.empty() && hasRoom(state, isLong)) {
+        start(state, call, isLong, now);
+        return { Verdict::Start, Reason::None };
+    }
+    enqueue(state, call, isLong, now);
+    return { Verdict::Wait, Reason::None };
+}
+
+Release finishCall(AdmissionState& state, CallId id, RunEnd end, absl::Time now)
+{
+    Release release;
+    const auto found = state.running.find(id);
+    if (found == state.running.end())
+        return release;
+    const RunningCall running = found->second;
+    state.running.erase(found);
+    state.longInFlight -= running.isLong ? 1 : 0;
+    if (end == RunEnd::Completed)
+        noteCompleted(state, running, now);
+    if (end == RunEnd::RefusedByTarget)
+        noteTargetRefusal(state.limit);
+    startWaiting(state, now, release);
+    return release;
+}
+
+bool withdrawCall(AdmissionState& state, CallId id)
+{
+    if (!state.waiting.contains(id))
+        return false;
+    removeWaiting(state, id);
+    return true;
+}
+
+Release advanceTime(AdmissionState& state, absl::Time now)
+{
+    Release release;
+    if (state.windowStart == absl::InfinitePast())
+        state.windowStart = now;
+    refuseLate(state, now, release);
+    if (now - state.windowStart >= state.options.window)
+        endWindow(state, now);
+    startWaiting(state, now, release);
+    while (state.waiting.size() > queueLimit(state)) {
+        const CallId last = state.queue.rbegin()->id;
+        removeWaiting(state, last);
+        release.refused.push_back({ last, Reason::Overload });
+    }
+    return release;
+}
+
+void startDraining(AdmissionState& state) { state.isDraining = true; }
+
+std::uint32_t admittedFraction(const AdmissionState& state, Priority priority, std::uint64_t caller)
+{
+    return admittedFraction(state.share, ShareKey { priority, caller });
+}
+
+int inFlight(const AdmissionState& state) { return static_cast<int>(state.running.size()); }
+
+CostKey costKey(absl::string_view kind, std::uint64_t bodyBytes)
+{
+    std::uint64_t bucket = 0;
+    if (bodyBytes > kSmallBodyBytes)
+        bucket = bodyBytes > kMediumBodyBytes ? 2 : 1;
+    return mixBits(stableHash(kind) + bucket);
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/fair-share.cc
@@ -0,0 +1,162 @@
+#include "jackdawwall/fair-share.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <vector>
+
+namespace jackdawwall {
+namespace {
+
+constexpr double kDemandWeight = 0.3;
+constexpr double kBudgetSwing = 0.1;
+constexpr int kForgetAfterWindows = 50;
+constexpr std::size_t kMaximumDemands = 8192;
+constexpr std::uint32_t kSmallestRise = 8;
+
+double offeredWork(const ShareDemand& demand)
+{
+    // Upstream nodes already refuse ranks at or above the fraction, so the ranks below it tell the whole.
+    const double inferred = demand.seenBelow * kRankCount / forwardedFraction(demand.fraction);
+    return std::max(demand.seen, inferred);
+}
+
+void updateDemand(ShareDemand& demand, double seconds)
+{
+    const double rate = offeredWork(demand) / seconds;
+    demand.idleWindows = demand.seen > 0 ? 0 : demand.idleWindows + 1;
+    demand.demand += kDemandWeight * (rate - demand.demand);
+    demand.seen = 0;
+    demand.seenBelow = 0;
+}
+
+void updateDemands(ShareState& state, double seconds)
+{
+    for (auto& [key, demand] : state.demands)
+        updateDemand(demand, seconds);
+    absl::erase_if(
+        state.demands, [](const auto& item) { return item.second.idleWindows > kForgetAfterWindows; });
+}
+
+void moveBudget(ShareState& state, const ShareOptions& options, const ShareWindow& window)
+{
+    const double served = window.completedWork / absl::ToDoubleSeconds(window.length);
+    const double waitRatio = absl::FDivDuration(window.wait, options.waitTarget);
+    const double correction = std::clamp(1 - waitRatio, -1.0, 1.0) * kBudgetSwing;
+    const double wanted = served * (1 + correction);
+    if (std::isinf(state.budget) || waitRatio >= 1) {
+        state.budget = wanted;
+        return;
+    }
+    state.budget = std::max(wanted, state.budget * (1 + correction));
+}
+
+/// Largest amount of work per unit of weight such that the callers' demands capped at it fit the budget.
+double fillLevel(std::vector<const ShareDemand*>& demands, double budget)
+{
+    std::sort(demands.begin(), demands.end(), [](const ShareDemand* left, const ShareDemand* right) {
+        return left->demand / left->weight < right->demand / right->weight;
+    });
+    double weightLeft = 0;
+    for (const ShareDemand* demand : demands)
+        weightLeft += demand->weight;
+    for (const ShareDemand* demand : demands) {
+        const double level = budget / weightLeft;
+        if (demand->demand / demand->weight > level)
+            return level;
+        budget -= demand->demand;
+        weightLeft -= demand->weight;
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
+std::uint32_t toFraction(const ShareDemand& demand, double level)
+{
+    const double granted = level * demand.weight;
+    const double wanted = granted >= demand.demand ? kRankCount : kRankCount * granted / demand.demand;
+    return std::min(raisedFraction(demand.fraction), static_cast<std::uint32_t>(std::lround(wanted)));
+}
+
+double divideClass(ShareState& state, Priority priority, double budget)
+{
+    std::vector<const ShareDemand*> demands;
+    for (const auto& [key, demand] : state.demands) {
+        if (key.priority == priority && demand.demand > 0)
+            demands.push_back(&demand);
+    }
+    const double level = fillLevel(demands, budget);
+    double granted = 0;
+    for (auto& [key, demand] : state.demands) {
+        if (key.priority != priority)
+            continue;
+        demand.fraction = toFraction(demand, level);
+        granted += std::min(demand.demand, level * demand.weight);
+    }
+    return std::max(0.0, budget - granted);
+}
+
+void divideAll(ShareState& state)
+{
+    double budget = state.budget;
+    for (std::size_t index = 0; index < kPriorityCount; ++index)
+        budget = divideClass(state, static_cast<Priority>(index), budget);
+}
+
+void admitAll(ShareState& state)
+{
+    state.isDividing = false;
+    state.budget = std::numeric_limits<double>::infinity();
+    for (auto& [key, demand] : state.demands)
+        demand.fraction = kRankCount;
+}
+
+bool isEveryoneAdmitted(const ShareState& state)
+{
+    return std::all_of(state.demands.begin(), state.demands.end(),
+        [](const auto& item) { return item.second.fraction == kRankCount; });
+}
+
+} // namespace
+
+std::uint32_t forwardedFraction(std::uint32_t fraction) { return std::max(fraction, kProbeRanks); }
+
+std::uint32_t raisedFraction(std::uint32_t fraction)
+{
+    return std::min(kRankCount, fraction + std::max(kSmallestRise, fraction / 2));
+}
+
+void noteOffer(ShareState& state, const ShareKey& key, double weight, std::uint32_t rank, double work)
+{
+    if (state.demands.size() >= kMaximumDemands && !state.demands.contains(key))
+        return;
+    ShareDemand& demand = state.demands[key];
+    demand.weight = std::max(weight, 0.01);
+    demand.seen += work;
+    if (rank < forwardedFraction(demand.fraction))
+        demand.seenBelow += work;
+}
+
+void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window)
+{
+    updateDemands(state, absl::ToDoubleSeconds(window.length));
+    if (window.wait > options.waitTarget)
+        state.isDividing = true;
+    if (!state.isDividing)
+        return;
+    moveBudget(state, options, window);
+    divideAll(state);
+    const bool isCalm = isEveryoneAdmitted(state) && window.wait < options.waitTarget;
+    state.calm = isCalm ? state.calm + 1 : 0;
+    if (state.calm >= options.calmWindows)
+        admitAll(state);
+}
+
+std::uint32_t admittedFraction(const ShareState& state, const ShareKey& key)
+{
+    const auto found = state.demands.find(key);
+    if (found == state.demands.end())
+        return kRankCount;
+    return found->second.fraction;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/main/ctl-catalogue.cc
@@ -0,0 +1,220 @@
+// The catalogue commands of jackdawctl.
+#include "main/ctl.h"
+
+#include "adapter/catalogue-json.h"
+#include "adapter/json-reader.h"
+#include "main/command-line.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <regex>
+
+namespace jackdawwall {
+namespace {
+
+constexpr int kMostWriteAttempts = 8;
+constexpr absl::Duration kPushTimeout = absl::Seconds(2);
+constexpr std::array<const char*, 3> kChangeTexts { "add", "change", "remove" };
+
+struct StoredCatalogue {
+    CatalogueDocument document;
+    CatalogueVersion version = 0;
+};
+
+/// Reads the operator's file; empty after printing its findings.
+std::optional<CatalogueFile> readFileOrReport(const std::string& path)
+{
+    std::vector<Finding> findings;
+    const std::string text = readFile(path, findings);
+    CatalogueFile file;
+    if (findings.empty())
+        file = readCatalogueFile(path, text, findings);
+    if (findings.empty())
+        return file;
+    std::cerr << formatFindings(findings);
+    return std::nullopt;
+}
+
+absl::StatusOr<StoredCatalogue> readHead(const Platform& platform)
+{
+    const absl::StatusOr<StoredObject> stored = platform.read(kCatalogueKey);
+    if (absl::IsNotFound(stored.status()))
+        return StoredCatalogue {};
+    if (!stored.ok())
+        return stored.status();
+    std::vector<Finding> findings;
+    std::optional<CatalogueDocument> document = readDocument(stored->value, findings);
+    if (!document)
+        return absl::DataLossError(formatFindings(findings));
+    return StoredCatalogue { *std::move(document), stored->version };
+}
+
+std::string newApplyId()
+{
+    std::random_device device;
+    return absl::StrCat(absl::Hex(device(), absl::kZeroPad8), absl::Hex(device(), absl::kZeroPad8));
+}
+
+void printPlan(const CtlOptions& options, const ApplyPlan& plan, CatalogueVersion version)
+{
+    Json::Value root(Json::objectValue);
+    root["version"] = Json::UInt64(version);
+    root["changes"] = Json::Value(Json::arrayValue);
+    root["conflicts"] = Json::Value(Json::arrayValue);
+    for (const EntryChange& change : plan.changes) {
+        const char* text = kChangeTexts.at(static_cast<std::size_t>(change.kind));
+        Json::Value item(Json::objectValue);
+        item["entry"] = change.name;
+        item["change"] = text;
+        root["changes"].append(item);
+        if (!options.isJson)
+            std::cout << text << " " << change.name << "\n";
+    }
+    for (const EntryConflict& conflict : plan.conflicts) {
+        root["conflicts"].append(conflict.name);
+        if (!options.isJson)
+            std::cout << "conflict " << conflict.name << ": changed by somebody else after version "
+                      << conflict.changedAfter << "\n";
+    }
+    if (options.isJson)
+        std::cout << canonicalJson(root) << "\n";
+}
+
+int reportStatus(const absl::Status& status)
+{
+    std::cerr << status.message() << "\n";
+    return kExitFailed;
+}
+
+/// Hands the accepted document to nodes, so that it is in force even if the platform goes away now.
+int pushToNodes(CtlContext& context, const std::string& text, CatalogueVersion version)
+{
+    int taken = 0;
+    for (const std::string& address : findOperatorAddresses(context)) {
+        ExchangeRequest request;
+        request.method = "POST";
+        request.url = absl::StrCat("http://", address, "/catalogue");
+        request.headers.push_back({ "Version", absl::StrCat(version) });
+        request.body = text;
+        request.deadline = absl::Now() + kPushTimeout;
+        const absl::StatusOr<HttpAnswer> answer = fetch(context.pool, address, request, kAnswerBufferBytes);
+        taken += answer.ok() && answer->status == 200 ? 1 : 0;
+    }
+    return taken;
+}
+
+void updateBasedOn(const std::string& path, CatalogueVersion version)
+{
+    std::vector<Finding> findings;
+    const std::string text = readFile(path, findings);
+    const std::regex pattern("(\"basedOn\"\\s*:\\s*)[0-9]+");
+    const std::string updated = std::regex_replace(
+        text, pattern, absl::StrCat("$1", version), std::regex_constants::format_first_only);
+    std::ofstream(path, std::ios::binary) << updated;
+}
+
+int reportAccepted(CtlContext& context, const ApplyPlan& plan, CatalogueVersion version)
+{
+    const int taken = pushToNodes(context, writeDocument(plan.result), version);
+    if (context.options.updatesFile)
+        updateBasedOn(context.options.file, version);
+    printPlan(context.options, plan, version);
+    if (!context.options.isJson)
+        std::cout << "accepted version=" << version << " nodes=" << taken << "\n";
+    if (taken == 0)
+        std::cerr << "no node has it yet: it takes force when the nodes reach the platform\n";
+    return kExitOk;
+}
+
+/// Version under which this apply is stored, if it is, after a write whose answer was lost or refused.
+absl::StatusOr<CatalogueVersion> findOwnWrite(const Platform& platform, const std::string& applyId)
+{
+    const absl::StatusOr<StoredCatalogue> head = readHead(platform);
+    if (!head.ok())
+        return head.status();
+    if (!containsApply(head->document, applyId))
+        return absl::NotFoundError("not stored");
+    return head->version;
+}
+
+} // namespace
+
+int validateCatalogue(CtlContext& context)
+{
+    const std::optional<CatalogueFile> file = readFileOrReport(context.options.file);
+    if (!file)
+        return kExitInvalid;
+    std::cout << "valid entries=" << file->entries.size() << " basedOn=" << file->basedOn << "\n";
+    return kExitOk;
+}
+
+int diffCatalogue(CtlContext& context)
+{
+    const std::optional<CatalogueFile> file = readFileOrReport(context.options.file);
+    if (!file)
+        return kExitInvalid;
+    const absl::StatusOr<StoredCatalogue> head = readHead(context.platform);
+    if (!head.ok())
+        return reportStatus(head.status());
+    const ApplyPlan plan = planApply(head->document, head->version, file->entries, file->basedOn, "diff");
+    printPlan(context.options, plan, head->version);
+    return plan.conflicts.empty() ? kExitOk : kExitConflict;
+}
+
+int applyCatalogue(CtlContext& context)
+{
+    const std::optional<CatalogueFile> file = readFileOrReport(context.options.file);
+    if (!file)
+        return kExitInvalid;
+    const std::string applyId = newApplyId();
+    for (int attempt = 0; attempt < kMostWriteAttempts; ++attempt) {
+        const absl::StatusOr<StoredCatalogue> head = readHead(context.platform);
+        if (!head.ok())
+            return reportStatus(head.status());
+        if (containsApply(head->document, applyId)) {
+            const ApplyPlan done { {}, {}, head->document };
+            return reportAccepted(context, done, head->version);
+        }
+        const ApplyPlan plan
+            = planApply(head->document, head->version, file->entries, file->basedOn, applyId);
+        if (!plan.conflicts.empty()) {
+            printPlan(context.options, plan, head->version);
+            return kExitConflict;
+        }
+        if (plan.changes.empty()) {
+            std::cout << "nothing to change, version=" << head->version << "\n";
+            return kExitOk;
+        }
+        const absl::StatusOr<ObjectVersion> written
+            = context.platform.write(kCatalogueKey, writeDocument(plan.result), head->version);
+        if (written.ok())
+            return reportAccepted(context, plan, *written);
+        if (absl::IsAborted(written.status()))
+            continue;
+        const absl::StatusOr<CatalogueVersion> own = findOwnWrite(context.platform, applyId);
+        if (own.ok())
+            return reportAccepted(context, plan, *own);
+        if (!absl::IsNotFound(own.status())) {
+            std::cerr << "unknown whether the change was stored; run the same apply again\n";
+            return kExitFailed;
+        }
+    }
+    std::cerr << "other operators were faster " << kMostWriteAttempts << " times; run the apply again\n";
+    return kExitFailed;
+}
+
+int getCatalogue(CtlContext& context)
+{
+    const absl::StatusOr<StoredCatalogue> head = readHead(context.platform);
+    if (!head.ok())
+        return reportStatus(head.status());
+    std::cout << writeCatalogueFile(head->document, head->version);
+    return kExitOk;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,264 @@
+#include "jackdawwall/membership.h"
+
+#include "absl/strings/string_view.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jackdawwall {
+namespace {
+
+constexpr std::array<absl::string_view, 4> kStatusTexts { "alive", "suspect", "leaving", "dead" };
+
+bool supersedes(const Member& told, const Member& held)
+{
+    if (told.incarnation != held.incarnation)
+        return told.incarnation > held.incarnation;
+    return told.status > held.status;
+}
+
+void store(MembershipState& state, const Member& member, absl::Time now)
+{
+    MemberRecord& record = state.members[member.peerAddress];
+    record.member = member;
+    record.changeNumber = ++state.lastChange;
+    record.statusSince = now;
+}
+
+MemberRecord& selfRecord(MembershipState& state) { return state.members.at(state.self); }
+
+/// True when the news is about this node; then it is refuted if it is wrong.
+bool refute(MembershipState& state, const Member& told, absl::Time now)
+{
+    if (told.peerAddress != state.self)
+        return false;
+    const Member held = selfRecord(state).member;
+    const bool isWrong = supersedes(told, held) || (told.incarnation >= held.incarnation && told != held);
+    if (isWrong) {
+        Member renewed = held;
+        renewed.incarnation = told.incarnation + 1;
+        store(state, renewed, now);
+    }
+    return true;
+}
+
+void setStatus(MembershipState& state, const std::string& address, MemberStatus status, absl::Time now)
+{
+    Member member = state.members.at(address).member;
+    member.status = status;
+    store(state, member, now);
+}
+
+bool isCountedAlive(const Member& member)
+{
+    return member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect;
+}
+
+struct RingPoint {
+    std::uint64_t hash = 0;
+    const Member* member = nullptr;
+};
+
+std::vector<RingPoint> ringOf(const MembershipState& state)
+{
+    std::vector<RingPoint> ring;
+    for (const auto& [address, record] : state.members) {
+        if (address == state.self || record.member.status == MemberStatus::Alive
+            || record.member.status == MemberStatus::Suspect)
+            ring.push_back({ mixBits(stableHash(address)), &record.member });
+    }
+    std::sort(ring.begin(), ring.end(),
+        [](const RingPoint& left, const RingPoint& right) { return left.hash < right.hash; });
+    return ring;
+}
+
+std::size_t positionOf(const std::vector<RingPoint>& ring, const std::string& self)
+{
+    const auto found = std::find_if(
+        ring.begin(), ring.end(), [&](const RingPoint& point) { return point.member->peerAddress == self; });
+    return static_cast<std::size_t>(found - ring.begin());
+}
+
+void addAt(std::vector<Member>& chosen, const std::vector<RingPoint>& ring, std::size_t position)
+{
+    const Member& member = *ring[position % ring.size()].member;
+    if (std::find(chosen.begin(), chosen.end(), member) == chosen.end())
+        chosen.push_back(member);
+}
+
+/// True when so many members are suspect that the fault is more likely this node's own connection, or a
+/// partition between data centres.
+bool isMassSuspicion(const MembershipState& state)
+{
+    std::size_t counted = 0;
+    std::size_t suspects = 0;
+    for (const auto& [address, record] : state.members) {
+        counted += isCountedAlive(record.member) ? 1 : 0;
+        suspects += record.member.status == MemberStatus::Suspect ? 1 : 0;
+    }
+    return suspects >= state.options.massMinimum
+        && static_cast<double>(suspects) > state.options.massShare * static_cast<double>(counted);
+}
+
+void forgetOld(MembershipState& state, absl::Time now)
+{
+    absl::erase_if(state.members, [&](const auto& item) {
+        const MemberRecord& record = item.second;
+        const bool isGone
+            = record.member.status == MemberStatus::Dead || record.member.status == MemberStatus::Leaving;
+        return isGone && item.first != state.self && now - record.statusSince > state.options.deadTime;
+    });
+}
+
+std::uint64_t recordHash(const Member& member)
+{
+    const std::uint64_t key = stableHash(member.peerAddress);
+    return mixBits(mixBits(key ^ member.incarnation) + static_cast<std::uint64_t>(member.status));
+}
+
+} // namespace
+
+absl::string_view toText(MemberStatus status) { return kStatusTexts.at(static_cast<std::size_t>(status)); }
+
+MembershipState makeMembership(const Member& self, const MembershipOptions& options, absl::Time now)
+{
+    MembershipState state;
+    state.options = options;
+    state.self = self.peerAddress;
+    store(state, self, now);
+    return state;
+}
+
+std::vector<Member> mergeMembers(MembershipState& state, absl::Span<const Member> told, absl::Time now)
+{
+    std::vector<Member> changed;
+    for (const Member& member : told) {
+        if (refute(state, member, now))
+            continue;
+        const auto held = state.members.find(member.peerAddress);
+        if (held != state.members.end() && !supersedes(member, held->second.member))
+            continue;
+        store(state, member, now);
+        changed.push_back(member);
+    }
+    return changed;
+}
+
+void announceLeave(MembershipState& state, absl::Time now)
+{
+    setStatus(state, state.self, MemberStatus::Leaving, now);
+}
+
+std::vector<Member> chooseNeighbours(const MembershipState& state, std::size_t successors)
+{
+    const std::vector<RingPoint> ring = ringOf(state);
+    const std::size_t self = positionOf(ring, state.self);
+    std::vector<Member> chosen;
+    for (std::size_t step = 1; step <= successors && step < ring.size(); ++step)
+        addAt(chosen, ring, self + step);
+    for (std::size_t distance = 2 * successors; distance < ring.size(); distance *= 2)
+        addAt(chosen, ring, self + distance);
+    return chosen;
+}
+
+std::vector<Member> newsFor(
+    const MembershipState& state, absl::string_view neighbour, std::size_t limit, std::uint64_t& upTo)
+{
+    const auto found = state.neighbours.find(neighbour);
+    const std::uint64_t known = found == state.neighbours.end() ? 0 : found->second.acknowledged;
+    std::vector<const MemberRecord*> news;
+    for (const auto& [address, record] : state.members) {
+        if (record.changeNumber > known)
+            news.push_back(&record);
+    }
+    std::sort(news.begin(), news.end(), [](const MemberRecord* left, const MemberRecord* right) {
+        return left->changeNumber < right->changeNumber;
+    });
+    const bool isCut = news.size() > limit;
+    news.resize(std::min(limit, news.size()));
+    upTo = isCut ? news.back()->changeNumber : state.lastChange;
+    std::vector<Member> members;
+    members.reserve(news.size());
+    for (const MemberRecord* record : news)
+        members.push_back(record->member);
+    return members;
+}
+
+void noteHeartbeat(MembershipState& state, const std::string& neighbour, std::uint64_t upTo, absl::Time now)
+{
+    NeighbourState& known = state.neighbours[neighbour];
+    known.acknowledged = std::max(known.acknowledged, upTo);
+    known.missed = 0;
+    const auto record = state.members.find(neighbour);
+    if (record == state.members.end() || record->second.member.status != MemberStatus::Suspect)
+        return;
+    // Local view only: the member itself refutes the suspicion for the others.
+    record->second.member.status = MemberStatus::Alive;
+    record->second.statusSince = now;
+}
+
+bool noteMissedHeartbeat(MembershipState& state, const std::string& neighbour, absl::Time now)
+{
+    NeighbourState& known = state.neighbours[neighbour];
+    ++known.missed;
+    const auto record = state.members.find(neighbour);
+    if (record == state.members.end() || record->second.member.status != MemberStatus::Alive)
+        return false;
+    if (known.missed < state.options.failuresToSuspect)
+        return false;
+    setStatus(state, neighbour, MemberStatus::Suspect, now);
+    return true;
+}
+
+std::vector<Member> advanceMembership(MembershipState& state, absl::Time now)
+{
+    forgetOld(state, now);
+    std::vector<Member> changed;
+    if (isMassSuspicion(state))
+        return changed;
+    std::vector<std::string> expired;
+    for (const auto& [address, record] : state.members) {
+        const bool isSuspect = record.member.status == MemberStatus::Suspect;
+        if (isSuspect && now - record.statusSince >= state.options.suspectTime)
+            expired.push_back(address);
+    }
+    for (const std::string& address : expired) {
+        setStatus(state, address, MemberStatus::Dead, now);
+        changed.push_back(state.members.at(address).member);
+    }
+    return changed;
+}
+
+std::vector<Member> routableMembers(const MembershipState& state, absl::string_view service)
+{
+    std::vector<Member> alive;
+    std::vector<Member> suspects;
+    for (const auto& [address, record] : state.members) {
+        if (record.member.service != service)
+            continue;
+        if (record.member.status == MemberStatus::Alive)
+            alive.push_back(record.member);
+        if (record.member.status == MemberStatus::Suspect)
+            suspects.push_back(record.member);
+    }
+    return alive.empty() ? suspects : alive;
+}
+
+std::uint64_t memberDigest(const MembershipState& state)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [address, record] : state.members)
+        sum += recordHash(record.member);
+    return sum;
+}
+
+std::vector<Member> allMembers(const MembershipState& state)
+{
+    std::vector<Member> members;
+    members.reserve(state.members.size());
+    for (const auto& [address, record] : state.members)
+        members.push_back(record.member);
+    return members;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/node/call-wire.cc
@@ -0,0 +1,165 @@
+#include "node/call-wire.h"
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jackdawwall {
+namespace {
+
+constexpr std::size_t kLongestNameBytes = 128;
+constexpr std::size_t kLongestRequestIdBytes = 200;
+constexpr std::int64_t kLongestDeadlineMs = 600'000;
+
+constexpr std::array<absl::string_view, 12> kDroppedHeaders { "connection", "keep-alive", "proxy-connection",
+    "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "host", "date",
+    "user-agent" };
+
+bool isPlain(absl::string_view text, std::size_t longest)
+{
+    if (text.size() > longest)
+        return false;
+    return std::all_of(text.begin(), text.end(), [](char character) {
+        return absl::ascii_isgraph(static_cast<unsigned char>(character)) && character != '"';
+    });
+}
+
+absl::Status checkNames(const CallerRequest& request)
+{
+    if (request.service.empty() && request.kind.empty())
+        return absl::InvalidArgumentError("Jackdaw-Service or Jackdaw-Kind must be given");
+    const std::array<absl::string_view, 3> names { request.service, request.caller, request.kind };
+    for (const absl::string_view name : names) {
+        if (!isPlain(name, kLongestNameBytes))
+            return absl::InvalidArgumentError("a name holds spaces or is longer than 128 bytes");
+    }
+    if (!isPlain(request.requestId, kLongestRequestIdBytes))
+        return absl::InvalidArgumentError("Jackdaw-Request-Id holds spaces or is longer than 200 bytes");
+    return absl::OkStatus();
+}
+
+absl::Status readDeadline(absl::string_view text, CallerRequest& request)
+{
+    if (text.empty())
+        return absl::OkStatus();
+    std::int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(text, &milliseconds) || milliseconds <= 0 || milliseconds > kLongestDeadlineMs)
+        return absl::InvalidArgumentError("Jackdaw-Deadline-Ms must be a number from 1 to 600000");
+    request.deadline = absl::Milliseconds(milliseconds);
+    return absl::OkStatus();
+}
+
+absl::Status readRepeat(absl::string_view text, CallerRequest& request)
+{
+    if (!text.empty() && text != "never" && text != "idempotent")
+        return absl::InvalidArgumentError("Jackdaw-Repeat must be \"never\" or \"idempotent\"");
+    request.asksOnce = text == "never";
+    return absl::OkStatus();
+}
+
+int statusOf(const CallFailure& failure)
+{
+    switch (failure.reason) {
+    case Reason::CallerLimit:
+    case Reason::RetryLimit:
+        return 429;
+    case Reason::Deadline:
+    case Reason::Timeout:
+        return 504;
+    case Reason::BadRequest:
+        return 400;
+    case Reason::Duplicate:
+        return 409;
+    case Reason::TargetFailed:
+    case Reason::ConnectionLost:
+    case Reason::Truncated:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+/// How long a caller should wait; 0 when coming back can't help.
+int retryAfterMs(Reason reason)
+{
+    switch (reason) {
+    case Reason::Overload:
+    case Reason::CallerLimit:
+    case Reason::RetryLimit:
+        return 1000;
+    case Reason::Leaving:
+    case Reason::Unreachable:
+    case Reason::TargetShed:
+        return 200;
+    case Reason::NoTarget:
+    case Reason::PlatformUnavailable:
+        return 3000;
+    default:
+        return 0;
+    }
+}
+
+} // namespace
+
+absl::StatusOr<CallerRequest> readCallerRequest(const HttpHead& head)
+{
+    CallerRequest request;
+    request.service = std::string(findHeader(head.headers, kServiceHeader));
+    request.caller = std::string(findHeader(head.headers, kCallerHeader));
+    request.kind = std::string(findHeader(head.headers, kKindHeader));
+    request.requestId = std::string(findHeader(head.headers, kRequestIdHeader));
+    request.parent = std::string(findHeader(head.headers, kParentHeader));
+    absl::Status status = checkNames(request);
+    status.Update(readDeadline(findHeader(head.headers, kDeadlineHeader), request));
+    status.Update(readRepeat(findHeader(head.headers, kRepeatHeader), request));
+    if (!status.ok())
+        return status;
+    return request;
+}
+
+std::string encodeHeader(const google::protobuf::MessageLite& message)
+{
+    return absl::WebSafeBase64Escape(message.SerializeAsString());
+}
+
+bool decodeHeader(absl::string_view value, google::protobuf::MessageLite& message)
+{
+    std::string bytes;
+    return absl::WebSafeBase64Unescape(value, &bytes) && message.ParseFromString(bytes);
+}
+
+std::vector<HttpHeader> forwardedHeaders(const std::vector<HttpHeader>& headers)
+{
+    std::vector<HttpHeader> kept;
+    for (const HttpHeader& header : headers) {
+        const std::string name = absl::AsciiStrToLower(header.name);
+        const bool isDropped
+            = std::find(kDroppedHeaders.begin(), kDroppedHeaders.end(), name) != kDroppedHeaders.end();
+        if (!isDropped && !absl::StartsWith(name, "jackdaw-"))
+            kept.push_back(header);
+    }
+    return kept;
+}
+
+HttpReply failureReply(const CallFailure& failure)
+{
+    HttpReply reply;
+    reply.status = statusOf(failure);
+    reply.headers.push_back({ kOutcomeHeader, std::string(toText(failure.outcome)) });
+    reply.headers.push_back({ kReasonHeader, std::string(toText(failure.reason)) });
+    const int after = retryAfterMs(failure.reason);
+    if (after > 0)
+        reply.headers.push_back({ kRetryAfterHeader, absl::StrCat(after) });
+    reply.headers.push_back({ "Content-Type", "text/plain" });
+    reply.body = absl::StrCat(
+        toText(failure.outcome), ": ", failure.detail.empty() ? toText(failure.reason) : failure.detail, "\n");
+    return reply;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/node/claim-store.h
@@ -0,0 +1,52 @@
+/// Claims that let unrepeatable work run at most once: one object in the platform for each request id,
+/// created only if it does not exist. The platform orders all claims, so it matters neither which node asks
+/// nor what a paused or restarted node believes.
+#pragma once
+
+#include "adapter/platform-client.h"
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace jackdawwall {
+
+/// A request id is good for this long after the time it carries.
+inline constexpr absl::Duration kRequestIdValidity = absl::Hours(1);
+/// Request ids from further ahead are refused: the caller's clock is wrong.
+inline constexpr absl::Duration kRequestIdLead = absl::Minutes(5);
+
+enum class ClaimEnd : std::uint8_t {
+    Claimed, ///< This call, and no other, may run the work.
+    Duplicate, ///< Claimed before: the work may have run.
+    Unavailable, ///< The platform can't tell now; the work was not run.
+    BadId, ///< The id carries no time, or one that is no longer valid.
+};
+
+struct Claim {
+    ClaimEnd end = ClaimEnd::Unavailable;
+    std::string key;
+    ObjectVersion version = 0;
+};
+
+/// Time in a request id of the form "t<unix seconds>-<unique>"; InfinitePast when there is none.
+absl::Time requestIdTime(absl::string_view requestId);
+
+/// A new request id of that form; `unique` must differ for each.
+std::string makeRequestId(absl::Time now, std::uint64_t unique);
+
+/// Claims a request id; `holder` names this attempt uniquely, to recognise its own write when the answer to
+/// it was lost.
+Claim claimRequest(
+    const Platform& platform, absl::string_view requestId, const std::string& holder, absl::Time now);
+
+/// Gives a claim back after proof that the work did not run, so that the caller may try again. Best effort:
+/// a claim that stays only turns a later `not-run` into `unknown`.
+void releaseClaim(const Platform& platform, const Claim& claim);
+
+/// Removes claims of request ids that are no longer valid; returns how many. Harmless on several nodes.
+int removeExpiredClaims(const Platform& platform, absl::Time now);
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/rate-limit.cc
@@ -0,0 +1,39 @@
+#include "jackdawwall/rate-limit.h"
+
+#include <algorithm>
+
+namespace jackdawwall {
+namespace {
+
+constexpr double kBurstSeconds = 0.5;
+constexpr std::size_t kMaximumBuckets = 65536;
+
+void refill(RateBucket& bucket, double callsPerSecond, absl::Time now)
+{
+    const double burst = std::max(1.0, callsPerSecond * kBurstSeconds);
+    if (bucket.filledAt == absl::InfinitePast()) {
+        bucket.tokens = burst;
+    } else {
+        const double seconds = absl::ToDoubleSeconds(now - bucket.filledAt);
+        bucket.tokens = std::min(burst, bucket.tokens + callsPerSecond * std::max(0.0, seconds));
+    }
+    bucket.filledAt = now;
+}
+
+} // namespace
+
+bool takeCall(RateLimitState& state, std::uint64_t caller, double callsPerSecond, absl::Time now)
+{
+    if (callsPerSecond <= 0)
+        return true;
+    if (state.buckets.size() >= kMaximumBuckets && !state.buckets.contains(caller))
+        state.buckets.clear();
+    RateBucket& bucket = state.buckets[caller];
+    refill(bucket, callsPerSecond, now);
+    if (bucket.tokens < 1)
+        return false;
+    bucket.tokens -= 1;
+    return true;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/routing.cc
@@ -0,0 +1,152 @@
+#include "jackdawwall/routing.h"
+
+#include "absl/strings/string_view.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdawwall {
+namespace {
+
+constexpr double kLatencyWeight = 0.2;
+constexpr double kPriorLatency = 0.001;
+constexpr std::size_t kMaximumLevels = 16384;
+
+struct Weighted {
+    std::uint64_t hash = 0;
+    std::size_t index = 0;
+    bool isRemote = false;
+};
+
+bool isExcluded(absl::Span<const std::string> excluded, const std::string& address)
+{
+    return std::find(excluded.begin(), excluded.end(), address) != excluded.end();
+}
+
+const TargetView* findView(const RoutingState& state, const std::string& address)
+{
+    const auto found = state.targets.find(address);
+    return found == state.targets.end() ? nullptr : &found->second;
+}
+
+bool isAvoided(const RoutingState& state, const std::string& address, absl::Time now)
+{
+    const TargetView* view = findView(state, address);
+    return view != nullptr && now < view->avoidUntil;
+}
+
+std::vector<int> usable(const RoutingState& state, absl::Span<const Candidate> candidates,
+    absl::Span<const std::string> excluded, absl::Time now)
+{
+    std::vector<int> fresh;
+    std::vector<int> avoided;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (isExcluded(excluded, candidates[index].address))
+            continue;
+        auto& list = isAvoided(state, candidates[index].address, now) ? avoided : fresh;
+        list.push_back(static_cast<int>(index));
+    }
+    return fresh.empty() ? avoided : fresh;
+}
+
+double rememberedLatency(const RoutingState& state, const TargetView& view, absl::Time now)
+{
+    if (view.latency == 0)
+        return kPriorLatency;
+    const double halves = absl::FDivDuration(now - view.latencyAt, state.options.latencyHalfLife);
+    return std::max(kPriorLatency, view.latency * std::exp2(-std::max(0.0, halves)));
+}
+
+/// Expected time of one more call, in seconds.
+double score(const RoutingState& state, const Candidate& candidate, absl::Time now)
+{
+    const double distance = candidate.isLocal ? 0 : absl::ToDoubleSeconds(state.options.remoteCost);
+    const TargetView* view = findView(state, candidate.address);
+    if (view == nullptr)
+        return kPriorLatency + distance;
+    const double ahead = 1 + view->inFlight + view->waiting;
+    return ahead * rememberedLatency(state, *view, now) + distance;
+}
+
+} // namespace
+
+std::vector<Candidate> chooseSubset(
+    absl::Span<const Candidate> members, absl::string_view self, std::size_t size)
+{
+    std::vector<Weighted> order;
+    const std::uint64_t selfHash = stableHash(self);
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        const std::uint64_t hash = mixBits(selfHash ^ stableHash(members[index].address));
+        order.push_back({ hash, index, !members[index].isLocal });
+    }
+    std::sort(order.begin(), order.end(), [](const Weighted& left, const Weighted& right) {
+        return std::tie(left.isRemote, left.hash) < std::tie(right.isRemote, right.hash);
+    });
+    std::vector<Candidate> subset;
+    for (std::size_t index = 0; index < std::min(size, order.size()); ++index)
+        subset.push_back(members[order[index].index]);
+    return subset;
+}
+
+int pickTarget(const RoutingState& state, absl::Span<const Candidate> candidates,
+    absl::Span<const std::string> excluded, Generator& generator, absl::Time now)
+{
+    const std::vector<int> choices = usable(state, candidates, excluded, now);
+    if (choices.empty())
+        return -1;
+    if (choices.size() == 1)
+        return choices.front();
+    const std::size_t first = generator() % choices.size();
+    const std::size_t offset = 1 + generator() % (choices.size() - 1);
+    const int left = choices[first];
+    const int right = choices[(first + offset) % choices.size()];
+    const double leftScore = score(state, candidates[static_cast<std::size_t>(left)], now);
+    const double rightScore = score(state, candidates[static_cast<std::size_t>(right)], now);
+    return leftScore <= rightScore ? left : right;
+}
+
+void noteSent(RoutingState& state, const std::string& address) { ++state.targets[address].inFlight; }
+
+void noteEnd(RoutingState& state, const std::string& address, const AttemptSeen& seen, absl::Time now)
+{
+    TargetView& view = state.targets[address];
+    view.inFlight = std::max(0, view.inFlight - 1);
+    view.waiting = seen.waiting;
+    if (seen.isTargetAtFault)
+        view.avoidUntil = now + state.options.failurePause;
+    if (!seen.hasAnswer)
+        return;
+    const double before = rememberedLatency(state, view, now);
+    const double seconds = absl::ToDoubleSeconds(seen.latency);
+    view.latency = view.latency == 0 ? seconds : before + kLatencyWeight * (seconds - before);
+    view.latencyAt = now;
+}
+
+void forgetTarget(RoutingState& state, const std::string& address) { state.targets.erase(address); }
+
+void notePathLevel(RoutingState& state, const PathKey& key, std::uint32_t fraction, absl::Time now)
+{
+    if (fraction >= kRankCount) {
+        state.levels.erase(key);
+        return;
+    }
+    if (state.levels.size() >= kMaximumLevels && !state.levels.contains(key))
+        return;
+    state.levels[key] = PathLevel { fraction, now };
+}
+
+std::uint32_t pathLevel(const RoutingState& state, const PathKey& key, absl::Time now)
+{
+    const auto found = state.levels.find(key);
+    if (found == state.levels.end())
+        return kRankCount;
+    std::uint32_t fraction = forwardedFraction(found->second.fraction);
+    absl::Duration silence = now - found->second.heardAt - state.options.levelHold;
+    while (silence > absl::ZeroDuration() && fraction < kRankCount) {
+        fraction = raisedFraction(fraction);
+        silence -= state.options.levelStep;
+    }
+    return fraction;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/standin/object-store.h
@@ -0,0 +1,40 @@
+/// Memory of the platform stand-in: versioned objects, conditional updates, waits for changes.
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jackdawwall::standin {
+
+struct Object {
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+class ObjectStore {
+public:
+    absl::StatusOr<Object> read(const std::string& key) const;
+    /// Aborted unless the stored version is `ifVersion`; 0 means that there must be none.
+    absl::StatusOr<std::uint64_t> write(
+        const std::string& key, const std::string& value, std::uint64_t ifVersion);
+    absl::Status remove(const std::string& key, std::uint64_t ifVersion);
+    std::vector<Object> list(const std::string& prefix, const std::string& afterKey, std::size_t most) const;
+    /// Waits until the key's version exceeds `after`; NotFound at the end of the wait.
+    absl::StatusOr<Object> watch(const std::string& key, std::uint64_t after, absl::Duration longest) const;
+
+private:
+    bool isNewer(const std::string& key, std::uint64_t after) const;
+
+    mutable absl::Mutex mutex_;
+    std::map<std::string, Object> objects_;
+    std::uint64_t lastVersion_ = 0;
+};
+
+} // namespace jackdawwall::standin
--- /dev/null
+++ b/standin/target-main.cc
@@ -0,0 +1,327 @@
+// standin-target: a small stand-in for a target: slots, cold start, straggling, cancellation, deadlines, calls
+// on to another service, and a record of every execution by request id.
+#include "adapter/connection-pool.h"
+#include "adapter/http-server.h"
+#include "main/command-line.h"
+#include "node/call-wire.h"
+#include "standin/slots.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/clock.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+namespace jackdawwall::standin {
+namespace {
+
+constexpr absl::Duration kLoadReportDelay = absl::Seconds(5);
+
+struct TargetOptions {
+    std::string service;
+    int slots = 10;
+    int connections = 300;
+    int connectionCostMs = 0;
+    int serviceMs = 10;
+    int coldStartMs = 0; ///< Works at a quarter of its speed this long.
+    std::vector<std::string> kindTimes; ///< "KIND:MS".
+    std::string nextService; ///< Called on for each request.
+    std::vector<std::string> nextDirect; ///< Its targets' addresses when there is no node.
+    int directRetries = 3;
+};
+
+/// Executions by request id, and what became of them.
+struct Record {
+    absl::Mutex mutex;
+    absl::btree_map<std::string, int> started;
+    std::uint64_t startedCount = 0;
+    std::uint64_t completedCount = 0;
+    std::uint64_t cancelledCount = 0;
+};
+
+struct Target {
+    TargetOptions options;
+    Slots slots;
+    Record record;
+    ConnectionPool pool;
+    absl::btree_map<std::string, int> kindMs;
+    absl::Time startedAt = absl::Now();
+    std::atomic<int> straggleFactor { 1 };
+    std::atomic<bool> isDraining { false };
+    std::atomic<unsigned> nextTurn { 0 };
+    std::atomic<int> reportedLoad { 0 }; ///< Of some seconds ago.
+};
+
+HttpReply textReply(int status, std::string body)
+{
+    HttpReply reply;
+    reply.status = status;
+    reply.body = std::move(body);
+    return reply;
+}
+
+HttpReply notRunReply()
+{
+    HttpReply reply = textReply(503, "not-run\n");
+    reply.headers.push_back({ kOutcomeHeader, "not-run" });
+    return reply;
+}
+
+absl::Time deadlineOf(const HttpHead& head)
+{
+    std::int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(findHeader(head.headers, kDeadlineHeader), &milliseconds))
+        milliseconds = 60'000;
+    return absl::Now() + absl::Milliseconds(milliseconds);
+}
+
+absl::Duration workTime(const Target& target, const HttpHead& head)
+{
+    const auto found = target.kindMs.find(findHeader(head.headers, kKindHeader));
+    int milliseconds = found == target.kindMs.end() ? target.options.serviceMs : found->second;
+    if (absl::Now() - target.startedAt < absl::Milliseconds(target.options.coldStartMs))
+        milliseconds *= 4;
+    return absl::Milliseconds(milliseconds * target.straggleFactor);
+}
+
+/// Works for a while; false when the caller went away.
+bool work(int callerSocket, absl::Duration time)
+{
+    const absl::Time end = absl::Now() + time;
+    while (absl::Now() < end) {
+        pollfd watched { callerSocket, POLLRDHUP, 0 };
+        const absl::Duration left = absl::Ceil(end - absl::Now(), absl::Milliseconds(1));
+        if (poll(&watched, 1, static_cast<int>(absl::ToInt64Milliseconds(left))) > 0)
+            return false;
+    }
+    return true;
+}
+
+void noteStart(Target& target, const std::string& requestId)
+{
+    const absl::MutexLock lock(&target.record.mutex);
+    ++target.record.started[requestId];
+    ++target.record.startedCount;
+}
+
+ExchangeRequest onwardRequest(const HttpRequest& request, absl::Time deadline)
+{
+    ExchangeRequest onward;
+    onward.method = "POST";
+    onward.deadline = deadline;
+    const std::int64_t left = absl::ToInt64Milliseconds(deadline - absl::Now());
+    onward.headers.push_back({ kDeadlineHeader, absl::StrCat(std::max<std::int64_t>(1, left)) });
+    onward.headers.push_back({ kKindHeader, std::string(findHeader(request.head.headers, kKindHeader)) });
+    onward.watchedSocket = request.head.socket;
+    return onward;
+}
+
+bool callThroughNode(Target& target, const HttpRequest& request, absl::Time deadline, const std::string& node)
+{
+    ExchangeRequest onward = onwardRequest(request, deadline);
+    onward.url = absl::StrCat("http://", node, "/next");
+    onward.headers.push_back({ kServiceHeader, target.options.nextService });
+    onward.headers.push_back({ kParentHeader, std::string(findHeader(request.head.headers, kParentHeader)) });
+    const absl::StatusOr<HttpAnswer> answer = fetch(target.pool, node, onward, kAnswerBufferBytes);
+    return answer.ok() && answer->status == 200;
+}
+
+bool callDirectly(Target& target, const HttpRequest& request, absl::Time deadline)
+{
+    const auto& addresses = target.options.nextDirect;
+    for (int attempt = 0; attempt <= target.options.directRetries && absl::Now() < deadline; ++attempt) {
+        const std::string& address = addresses[target.nextTurn++ % addresses.size()];
+        ExchangeRequest onward = onwardRequest(request, deadline);
+        onward.url = absl::StrCat("http://", address, "/next");
+        onward.headers.push_back(
+            { kRequestIdHeader, std::string(findHeader(request.head.headers, kRequestIdHeader)) });
+        const absl::StatusOr<HttpAnswer> answer = fetch(target.pool, address, onward, kAnswerBufferBytes);
+        if (answer.ok() && answer->status == 200)
+            return true;
+    }
+    return false;
+}
+
+bool callNext(Target& target, const HttpRequest& request, absl::Time deadline)
+{
+    if (target.options.nextService.empty())
+        return true;
+    const std::string node(findHeader(request.head.headers, kNodeHeader));
+    if (!node.empty())
+        return callThroughNode(target, request, deadline, node);
+    return target.options.nextDirect.empty() || callDirectly(target, request, deadline);
+}
+
+std::string answerBody(const Target& target, const HttpRequest& request)
+{
+    const absl::string_view id = findHeader(request.head.headers, kRequestIdHeader);
+    std::uint64_t bytes = 0;
+    const bool isSized = absl::SimpleAtoi(queryValue(request.head.target, "answer-bytes"), &bytes);
+    std::string body = absl::StrCat(
+        "id=", id, " service=", target.options.service, " received=", request.body.size(), "\n");
+    if (isSized && bytes > body.size())
+        body.resize(bytes, '.');
+    return body;
+}
+
+HttpReply serveCall(Target& target, const HttpRequest& request)
+{
+    if (target.isDraining)
+        return notRunReply();
+    const absl::Time deadline = deadlineOf(request.head);
+    if (!target.slots.acquire(deadline))
+        return notRunReply();
+    const std::string requestId(findHeader(request.head.headers, kRequestIdHeader));
+    noteStart(target, requestId);
+    const bool isWorked = work(request.head.socket, workTime(target, request.head));
+    const bool isWhole = isWorked && callNext(target, request, deadline);
+    target.slots.release();
+    const absl::MutexLock lock(&target.record.mutex);
+    ++(isWorked ? target.record.completedCount : target.record.cancelledCount);
+    return isWhole ? textReply(200, answerBody(target, request)) : textReply(502, "a call further on failed\n");
+}
+
+std::string executions(Target& target)
+{
+    std::string text;
+    const absl::MutexLock lock(&target.record.mutex);
+    for (const auto& [requestId, count] : target.record.started)
+        absl::StrAppend(&text, requestId, " ", count, "\n");
+    return text;
+}
+
+HttpReply control(Target& target, const HttpRequest& request)
+{
+    const std::string& path = request.head.path;
+    const std::string value = queryValue(request.head.target, "value");
+    int number = 0;
+    if (path == "/control/straggle" && absl::SimpleAtoi(value, &number)) {
+        target.straggleFactor = number;
+        return textReply(200, "");
+    }
+    if (path == "/control/drain") {
+        target.isDraining = true;
+        return textReply(200, "");
+    }
+    if (path == "/control/executions")
+        return textReply(200, executions(target));
+    if (path == "/control/load")
+        return textReply(200, absl::StrCat("waiting=", target.reportedLoad.load(), "\n"));
+    if (path == "/control/stats") {
+        const absl::MutexLock lock(&target.record.mutex);
+        return textReply(200,
+            absl::StrCat("started=", target.record.startedCount, " completed=", target.record.completedCount,
+                " cancelled=", target.record.cancelledCount, "\n"));
+    }
+    return textReply(404, "no such control\n");
+}
+
+HttpReply answer(Target& target, const HttpRequest& request)
+{
+    if (request.head.path.rfind("/control/", 0) == 0)
+        return control(target, request);
+    return serveCall(target, request);
+}
+
+/// Counts a long body without keeping it.
+class TargetSession : public HttpSession {
+public:
+    TargetSession(Target& target, HttpHead head)
+        : target_(target)
+        , request_ { std::move(head), "" }
+    {
+    }
+    std::unique_ptr<HttpReply> begin() override { return nullptr; }
+    void body(absl::Span<const char> part) override { bytes_ += part.size(); }
+    HttpReply finish() override
+    {
+        HttpReply reply = answer(target_, request_);
+        reply.headers.push_back({ "Received-Bytes", absl::StrCat(bytes_) });
+        return reply;
+    }
+
+private:
+    Target& target_;
+    HttpRequest request_;
+    std::size_t bytes_ = 0;
+};
+
+void reportLoadLate(Target& target, const std::atomic<bool>& isStopping)
+{
+    while (!isStopping) {
+        const int waiting = target.slots.waiting();
+        for (absl::Time end = absl::Now() + kLoadReportDelay; absl::Now() < end && !isStopping;)
+            absl::SleepFor(absl::Milliseconds(100));
+        target.reportedLoad = waiting;
+    }
+}
+
+int runTarget(const std::string& address, TargetOptions options)
+{
+    const sigset_t signals = blockStopSignals();
+    const int slots = options.slots;
+    Target target { std::move(options), Slots(slots), {}, {}, {} };
+    for (const std::string& item : target.options.kindTimes) {
+        const std::pair<std::string, std::string> pair = absl::StrSplit(item, absl::MaxSplits(':', 1));
+        if (!absl::SimpleAtoi(pair.second, &target.kindMs[pair.first]))
+            throw std::invalid_argument(absl::StrCat("not KIND:MS: ", item));
+    }
+    HttpServerOptions server;
+    server.address = address;
+    server.connectionLimit = static_cast<unsigned>(target.options.connections);
+    server.idleTimeout = absl::Seconds(60);
+    auto port = HttpServer::start(server, [&target](HttpHead head) {
+        return std::make_unique<TargetSession>(target, std::move(head));
+    });
+    if (!port.ok()) {
+        std::cerr << port.status() << "\n";
+        return kExitFailed;
+    }
+    std::atomic<bool> isStopping { false };
+    std::thread reporter([&] { reportLoadLate(target, isStopping); });
+    std::cout << "ready address=" << (*port)->address() << std::endl;
+    awaitStopSignal(signals);
+    isStopping = true;
+    reporter.join();
+    return kExitOk;
+}
+
+} // namespace
+} // namespace jackdawwall::standin
+
+int main(int argc, char** argv)
+{
+    using namespace jackdawwall;
+    return runMain([&] {
+        TCLAP::CmdLine line("Stand-in for a target.", ' ', kProgramVersion);
+        TCLAP::ValueArg<std::string> address("a", "address", "", false, "127.0.0.1:0", "IP:PORT", line);
+        TCLAP::ValueArg<std::string> service("n", "service", "", true, "", "NAME", line);
+        TCLAP::ValueArg<int> slots("l", "slots", "", false, 10, "N", line);
+        TCLAP::ValueArg<int> connections("x", "connections", "", false, 300, "N", line);
+        TCLAP::ValueArg<int> serviceMs("t", "service-ms", "", false, 10, "MS", line);
+        TCLAP::ValueArg<int> coldMs("d", "cold-start-ms", "", false, 0, "MS", line);
+        TCLAP::MultiArg<std::string> kinds("k", "kind", "Time of one kind", false, "KIND:MS", line);
+        TCLAP::ValueArg<std::string> next("m", "next-service", "", false, "", "NAME", line);
+        TCLAP::MultiArg<std::string> direct("i", "next-direct", "", false, "IP:PORT", line);
+        line.parse(argc, argv);
+        standin::TargetOptions options;
+        options.service = service.getValue();
+        options.slots = slots.getValue();
+        options.connections = connections.getValue();
+        options.serviceMs = serviceMs.getValue();
+        options.coldStartMs = coldMs.getValue();
+        options.kindTimes = kinds.getValue();
+        options.nextService = next.getValue();
+        options.nextDirect = direct.getValue();
+        return standin::runTarget(address.getValue(), std::move(options));
+    });
+}
--- /dev/null
+++ b/support/fleet.sh
@@ -0,0 +1,85 @@
+# Shell functions that run a small fleet on loopback; sourced by the demo and the trials.
+# Every process started here is remembered by id, and only those are ended.
+# BIN: folder of the programs; RUN: folder for output.
+
+FLEET_PIDS=()
+
+# await_line FILE: waits up to 10 s for a "ready" line.
+await_ready() {
+  local tries=0
+  until grep -q '^ready' "$1" 2>/dev/null; do
+    tries=$((tries + 1))
+    if [ "$tries" -gt 200 ]; then echo "no ready line in $1" >&2; return 1; fi
+    sleep 0.05
+  done
+}
+
+# value_of FILE KEY: value of "KEY=" in the ready line.
+value_of() { sed -n "s/^ready.*[ ]$2=\([^ ]*\).*/\1/p" "$1" | head -1; }
+
+# start NAME PROGRAM ARGS...: starts a program and waits until it is ready.
+start() {
+  local name=$1
+  shift
+  "$@" >"$RUN/$name.out" 2>"$RUN/$name.err" &
+  echo $! >"$RUN/$name.pid"
+  FLEET_PIDS+=($!)
+  await_ready "$RUN/$name.out"
+}
+
+start_platform() {
+  start platform "$BIN/standin-platform" "$@"
+  PLATFORM=$(value_of "$RUN/platform.out" api)
+  PLATFORM_CONTROL=$(value_of "$RUN/platform.out" control)
+}
+
+# start_target NAME SERVICE ARGS...
+start_target() {
+  local name=$1 service=$2
+  shift 2
+  start "target-$name" "$BIN/standin-target" --service "$service" "$@"
+}
+
+target_address() { value_of "$RUN/target-$1.out" address; }
+
+# start_node NAME SERVICE DATA_CENTRE SETTINGS...: the node beside the target of the same name.
+start_node() {
+  local name=$1 service=$2 centre=$3
+  shift 3
+  start "node-$name" "$BIN/jackdaw-node" --set "process=$name" --set "service=$service" \
+    --set "dataCentre=$centre" --set "targetAddress=$(target_address "$name")" \
+    --set "platformAddresses=[\"$PLATFORM\"]" --set "logPath=$RUN/node-$name.log" "$@"
+}
+
+node_caller() { value_of "$RUN/node-$1.out" caller; }
+node_operator() { value_of "$RUN/node-$1.out" operator; }
+
+# stop NAME: asks a process to stop and waits for it; returns its exit code.
+stop() {
+  local pid
+  pid=$(cat "$RUN/$1.pid")
+  kill -TERM "$pid" 2>/dev/null
+  wait "$pid"
+}
+
+# stop_fleet: ends what is left of what this shell started.
+stop_fleet() {
+  local pid
+  for pid in "${FLEET_PIDS[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+  for pid in "${FLEET_PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+  FLEET_PIDS=()
+}
+
+# await_members COUNT NODE...: waits until each node knows COUNT live members.
+await_members() {
+  local count=$1 name tries
+  shift
+  for name in "$@"; do
+    tries=0
+    until curl -s "http://$(node_operator "$name")/status" | grep -q "\"alive\":$count[,}]"; do
+      tries=$((tries + 1))
+      if [ "$tries" -gt 200 ]; then echo "$name does not know $count members" >&2; return 1; fi
+      sleep 0.1
+    done
+  done
+}
--- /dev/null
+++ b/support/install-packages.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Installs what the build, the tests and the linters need; does nothing when it is all there.
+set -eu
+packages=(g++ cmake ninja-build pkg-config curl clang-format clang-tidy
+  libabsl-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
+  libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev libspdlog-dev libtclap-dev
+  libboost-dev libboost-test-dev)
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+done
+[ "${#missing[@]}" -eq 0 ] && exit 0
+export DEBIAN_FRONTEND=noninteractive
+as_root=()
+[ "$(id -u)" -eq 0 ] || as_root=(sudo)
+"${as_root[@]}" apt-get update -qq
+"${as_root[@]}" apt-get install -y -qq --no-install-recommends "${missing[@]}"
