The way of one call as pure functions

Cause: the attempt loop, hedging and allowance passing stood in the node's HTTP code, so a scenario in virtual time would have had to repeat them. They are now call-flow.h over NodeDecisions, and the node only sends and reports.

--- /dev/null
+++ b/include/jackdawwall/call-flow.h
@@ -0,0 +1,170 @@
+/// The way of one call through a node, in both roles, over all the decision states of that node. A driver
+/// (the node's adapters, or a scenario in virtual time) reports what happened and does what is returned.
+///
+/// Caller's side:  openCall -> refuseEarly -> sendNext -> (hedgeAfter -> sendHedge) -> noteReport
+///                 -> mayRetry -> sendNext ... -> closeCall
+/// Target's side:  offerCall (admission.h) -> openInbound -> the target runs -> feedbackFor -> closeInbound
+///                 -> finishCall
+#pragma once
+
+#include "jackdawwall/admission.h"
+#include "jackdawwall/catalogue.h"
+#include "jackdawwall/hedging.h"
+#include "jackdawwall/membership.h"
+#include "jackdawwall/rate-limit.h"
+#include "jackdawwall/retry-budget.h"
+#include "jackdawwall/routing.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jackdawwall {
+
+/// Names an inbound call towards the own target, which gives it back on calls of its own; 0 is none.
+using CallToken = std::uint64_t;
+
+/// What travels from a caller's node to a target's node with each call.
+struct CallContext {
+    std::string caller;
+    std::string kind;
+    std::string requestId;
+    Priority priority = Priority::Browse;
+    std::uint32_t rank = 0;
+    std::uint32_t weight = 1;
+    std::uint32_t allowance = 0; ///< Extra attempts that the receiver may spend.
+    std::uint32_t depth = 0;
+    bool isRepeatable = true;
+    absl::Time deadline;
+};
+
+/// What travels back with each answer.
+struct CallFeedback {
+    std::uint32_t unspent = 0;
+    std::uint32_t admitFraction = kRankCount; ///< Least along the path of this call.
+    std::uint32_t inFlight = 0;
+    std::uint32_t waiting = 0;
+    bool hasFailedDeeper = false;
+};
+
+/// A call that the own target is working on.
+struct InboundCall {
+    CallContext context;
+    Allowance allowance;
+    std::uint32_t pathFraction = kRankCount; ///< Least of the fractions heard from deeper services.
+    bool hasChildFailed = false;
+    std::uint32_t childCount = 0;
+};
+
+/// All decision states of one node.
+struct NodeDecisions {
+    std::string dataCentre;
+    AdmissionState admission;
+    RoutingState routing;
+    MembershipState membership;
+    HedgeState hedging;
+    RetryRatio retries;
+    RateLimitState callerLimits;
+    Generator generator;
+    absl::flat_hash_map<CallToken, InboundCall> inbound;
+    absl::flat_hash_map<std::string, std::vector<Candidate>> subsets; ///< By service; see membersChanged.
+};
+
+NodeDecisions makeNodeDecisions(const Member& self, std::uint64_t seed, absl::Time now);
+
+/// Forgets what was derived from the membership; call it after every change of it.
+void membersChanged(NodeDecisions& decisions);
+
+/// What a caller asks for.
+struct CallAsk {
+    std::string service; ///< Empty: the kind's service.
+    std::string caller;
+    std::string kind;
+    std::string requestId; ///< Empty: one is made.
+    std::optional<absl::Duration> deadline;
+    bool asksOnce = false;
+    CallToken parent = 0;
+};
+
+/// A call on its way from this node to a target.
+struct OutboundCall {
+    std::string service;
+    CallContext context; ///< `allowance` is set for each attempt.
+    double callsPerSecond = 0; ///< Limit of the caller; 0 is none.
+    absl::Time start;
+    Allowance allowance;
+    CallToken parent = 0;
+    PathKey path;
+    std::vector<std::string> tried;
+    AttemptEnd worst; ///< Strongest doubt of the attempts so far.
+};
+
+/// One copy of a call to one target.
+struct Sending {
+    std::string address;
+    std::uint32_t lent = 0; ///< Extra attempts handed along.
+    absl::Time at;
+};
+
+/// How an attempt ended, as the driver saw it.
+struct AttemptReport {
+    AttemptEnd end;
+    bool isAnswered = false; ///< The target's node answered.
+    std::optional<CallFeedback> feedback;
+};
+
+/// Resolves a call against the catalogue and its parent. InvalidArgument when no service is known;
+/// Cancelled when the parent has ended, since nobody waits for the call.
+absl::StatusOr<OutboundCall> openCall(
+    NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, absl::Time now);
+
+/// Refusals that need no target: the caller's limit, and ranks that the path does not admit.
+Reason refuseEarly(NodeDecisions& decisions, const OutboundCall& call, absl::Time now);
+
+/// Chooses a target that was not tried and lends it its allowance; empty when there is none.
+std::optional<Sending> sendNext(NodeDecisions& decisions, OutboundCall& call, absl::Time now);
+
+/// Time after a sending at which a hedge is worth trying; infinite for work that may not be repeated.
+absl::Duration hedgeAfter(const NodeDecisions& decisions, const OutboundCall& call);
+
+/// A second copy, if the allowance and the share of hedges permit it.
+std::optional<Sending> sendHedge(NodeDecisions& decisions, OutboundCall& call, absl::Time now);
+
+/// Notes the copy that lost and was cancelled; its allowance counts as spent.
+void noteLoser(NodeDecisions& decisions, const Sending& sending, absl::Time now);
+
+/// Learns from the end of an attempt.
+void noteReport(NodeDecisions& decisions, OutboundCall& call, const Sending& sending,
+    const AttemptReport& report, absl::Time now);
+
+/// True when the call may be tried once more; takes what that costs.
+[[nodiscard]] bool mayRetry(NodeDecisions& decisions, OutboundCall& call, const AttemptEnd& end, absl::Time now);
+
+/// End of the whole call: an answer, else the strongest doubt over all attempts.
+AttemptEnd finalEnd(const OutboundCall& call, const AttemptEnd& last);
+
+/// Gives the unspent allowance and the result back to the parent.
+void closeCall(NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end);
+
+/// The call as the admission sees it.
+OfferedCall toOffer(const CallContext& context, CallId id, std::uint64_t bodyBytes);
+
+/// Registers a call that was started in the own target.
+CallToken openInbound(NodeDecisions& decisions, const CallContext& context);
+
+/// Feedback for an answer. For a call that ran (`token` is not 0) its allowance is returned with it and can't
+/// be spent here any more.
+CallFeedback feedbackFor(NodeDecisions& decisions, const CallContext& context, CallToken token);
+
+/// The target's answer was passed on or lost.
+void closeInbound(NodeDecisions& decisions, CallToken token);
+
+/// A new request id of the form "t<unix seconds>-<unique>".
+std::string makeRequestId(absl::Time now, std::uint64_t unique);
+
+} // namespace jackdawwall
--- a/include/jackdawwall/routing.h
+++ b/include/jackdawwall/routing.h
@@ -93,9 +93,6 @@
 /// Notes the end of an attempt.
 void noteEnd(RoutingState& state, const std::string& address, const AttemptSeen& seen, absl::Time now);
 
-/// Forgets a target that left.
-void forgetTarget(RoutingState& state, const std::string& address);
-
 /// Notes the fraction heard on an answer.
 void notePathLevel(RoutingState& state, const PathKey& key, std::uint32_t fraction, absl::Time now);
 
--- /dev/null
+++ b/src/call-flow.cc
@@ -0,0 +1,276 @@
+#include "jackdawwall/call-flow.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace jackdawwall {
+namespace {
+
+std::uint64_t hedgeKey(const OutboundCall& call) { return mixBits(call.path.service ^ call.path.kind); }
+
+void applyWork(OutboundCall& call, const CallAsk& ask, const WorkEntry& work, absl::Time now)
+{
+    call.service = ask.service.empty() ? work.service : ask.service;
+    call.context.kind = work.name;
+    call.context.priority = work.priority;
+    call.context.isRepeatable = work.isRepeatable && !ask.asksOnce;
+    call.allowance.remaining = work.attempts;
+    call.context.deadline = now + std::min(ask.deadline.value_or(work.deadline), work.deadline);
+}
+
+void applyCaller(OutboundCall& call, const CallerEntry& caller)
+{
+    call.context.caller = caller.name;
+    call.context.weight = static_cast<std::uint32_t>(std::max(1.0, caller.weight));
+    call.callsPerSecond = caller.callsPerSecond;
+}
+
+/// A call made by the own target belongs to the request that the target is working on.
+absl::Status applyParent(NodeDecisions& decisions, OutboundCall& call)
+{
+    const auto found = decisions.inbound.find(call.parent);
+    if (found == decisions.inbound.end())
+        return absl::CancelledError("the request that this call belongs to has ended");
+    InboundCall& parent = found->second;
+    CallContext& context = call.context;
+    context.caller = parent.context.caller;
+    context.priority = parent.context.priority;
+    context.rank = parent.context.rank;
+    context.weight = parent.context.weight;
+    context.depth = parent.context.depth + 1;
+    context.deadline = std::min(context.deadline, parent.context.deadline);
+    call.callsPerSecond = 0;
+    call.allowance.remaining = lendAllowance(parent.allowance);
+    if (context.requestId.empty())
+        context.requestId = absl::StrCat(parent.context.requestId, "/", ++parent.childCount);
+    return absl::OkStatus();
+}
+
+void applyRoot(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
+{
+    if (call.context.requestId.empty())
+        call.context.requestId = makeRequestId(now, decisions.generator());
+    call.context.rank = requestRank(call.context.requestId);
+}
+
+absl::string_view nameOrDefault(const std::string& name) { return name.empty() ? kDefaultName : name; }
+
+const std::vector<Candidate>& candidatesFor(NodeDecisions& decisions, const std::string& service)
+{
+    const auto found = decisions.subsets.find(service);
+    if (found != decisions.subsets.end())
+        return found->second;
+    std::vector<Candidate> all;
+    for (const Member& member : routableMembers(decisions.membership, service))
+        all.push_back({ member.peerAddress, member.dataCentre == decisions.dataCentre });
+    const std::size_t size = decisions.routing.options.subsetSize;
+    return decisions.subsets[service] = chooseSubset(all, decisions.membership.self, size);
+}
+
+bool isTargetAtFault(const AttemptEnd& end)
+{
+    return end.reason == Reason::Unreachable || end.reason == Reason::ConnectionLost
+        || end.reason == Reason::Leaving || end.reason == Reason::TargetShed;
+}
+
+void learnFeedback(NodeDecisions& decisions, OutboundCall& call, const Sending& sending,
+    const CallFeedback& feedback, absl::Time now)
+{
+    returnAllowance(call.allowance, sending.lent, feedback.unspent);
+    notePathLevel(decisions.routing, call.path, feedback.admitFraction, now);
+    const auto parent = decisions.inbound.find(call.parent);
+    if (parent != decisions.inbound.end())
+        parent->second.pathFraction = std::min(parent->second.pathFraction, feedback.admitFraction);
+}
+
+std::optional<Sending> sendTo(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
+{
+    const std::vector<Candidate>& candidates = candidatesFor(decisions, call.service);
+    const int index = pickTarget(decisions.routing, candidates, call.tried, decisions.generator, now);
+    if (index < 0)
+        return std::nullopt;
+    Sending sending { candidates[static_cast<std::size_t>(index)].address, 0, now };
+    sending.lent = lendAllowance(call.allowance);
+    call.context.allowance = sending.lent;
+    call.tried.push_back(sending.address);
+    noteSent(decisions.routing, sending.address);
+    return sending;
+}
+
+
+AttemptEnd worseOf(const AttemptEnd& left, const AttemptEnd& right)
+{
+    return right.outcome >= left.outcome ? right : left;
+}
+
+} // namespace
+
+NodeDecisions makeNodeDecisions(const Member& self, std::uint64_t seed, absl::Time now)
+{
+    NodeDecisions decisions;
+    decisions.dataCentre = self.dataCentre;
+    decisions.admission = makeAdmissionState({});
+    decisions.membership = makeMembership(self, {}, now);
+    decisions.hedging = makeHedgeState({});
+    decisions.retries = makeRetryRatio({});
+    decisions.generator.seed(seed);
+    return decisions;
+}
+
+void membersChanged(NodeDecisions& decisions)
+{
+    decisions.subsets.clear();
+    absl::erase_if(decisions.routing.targets, [&](const auto& item) {
+        const auto member = decisions.membership.members.find(item.first);
+        return member == decisions.membership.members.end()
+            || member->second.member.status > MemberStatus::Suspect;
+    });
+}
+
+absl::StatusOr<OutboundCall> openCall(
+    NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, absl::Time now)
+{
+    OutboundCall call;
+    call.start = now;
+    call.parent = ask.parent;
+    call.context.requestId = ask.requestId;
+    applyWork(call, ask, findWork(catalogue, nameOrDefault(ask.kind)), now);
+    applyCaller(call, findCaller(catalogue, nameOrDefault(ask.caller)));
+    if (call.service.empty())
+        return absl::InvalidArgumentError("no service is given and the kind of work names none");
+    if (call.parent == 0) {
+        applyRoot(decisions, call, now);
+    } else if (const absl::Status status = applyParent(decisions, call); !status.ok()) {
+        return status;
+    }
+    call.path
+        = { stableHash(call.service), stableHash(call.context.kind), stableHash(call.context.caller) };
+    return call;
+}
+
+Reason refuseEarly(NodeDecisions& decisions, const OutboundCall& call, absl::Time now)
+{
+    if (!takeCall(decisions.callerLimits, call.path.caller, call.callsPerSecond, now))
+        return Reason::CallerLimit;
+    if (call.context.rank >= pathLevel(decisions.routing, call.path, now))
+        return Reason::Overload;
+    noteFirstAttempt(decisions.retries, {});
+    return Reason::None;
+}
+
+std::optional<Sending> sendNext(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
+{
+    return sendTo(decisions, call, now);
+}
+
+absl::Duration hedgeAfter(const NodeDecisions& decisions, const OutboundCall& call)
+{
+    if (!call.context.isRepeatable)
+        return absl::InfiniteDuration();
+    return hedgeDelay(decisions.hedging, hedgeKey(call));
+}
+
+std::optional<Sending> sendHedge(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
+{
+    const std::vector<Candidate>& candidates = candidatesFor(decisions, call.service);
+    if (call.tried.size() >= candidates.size() || !takeHedge(decisions.hedging, call.allowance))
+        return std::nullopt;
+    return sendTo(decisions, call, now);
+}
+
+void noteLoser(NodeDecisions& decisions, const Sending& sending, absl::Time now)
+{
+    // It was at least this slow.
+    noteEnd(decisions.routing, sending.address, { true, false, now - sending.at, 0 }, now);
+}
+
+void noteReport(NodeDecisions& decisions, OutboundCall& call, const Sending& sending,
+    const AttemptReport& report, absl::Time now)
+{
+    const bool isRun = report.isAnswered && report.end.outcome != Outcome::NotRun;
+    const std::uint32_t waiting = report.feedback ? report.feedback->waiting : 0;
+    const AttemptSeen seen { isRun, isTargetAtFault(report.end), now - sending.at, waiting };
+    noteEnd(decisions.routing, sending.address, seen, now);
+    if (report.feedback)
+        learnFeedback(decisions, call, sending, *report.feedback, now);
+    if (report.end.outcome == Outcome::Ok)
+        noteAnswer(decisions.hedging, hedgeKey(call), now - sending.at);
+    call.worst = worseOf(call.worst, report.end);
+}
+
+bool mayRetry(NodeDecisions& decisions, OutboundCall& call, const AttemptEnd& end, absl::Time now)
+{
+    if (!isRetryUseful(end, call.context.isRepeatable) || now >= call.context.deadline)
+        return false;
+    if (call.allowance.remaining == 0 || !takeRetry(decisions.retries))
+        return false;
+    return spendAttempt(call.allowance);
+}
+
+AttemptEnd finalEnd(const OutboundCall& call, const AttemptEnd& last)
+{
+    return last.outcome == Outcome::Ok ? last : worseOf(call.worst, last);
+}
+
+void closeCall(NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end)
+{
+    const auto parent = decisions.inbound.find(call.parent);
+    if (parent == decisions.inbound.end())
+        return;
+    parent->second.allowance.remaining += call.allowance.remaining;
+    parent->second.hasChildFailed = parent->second.hasChildFailed || end.outcome != Outcome::Ok;
+}
+
+OfferedCall toOffer(const CallContext& context, CallId id, std::uint64_t bodyBytes)
+{
+    OfferedCall offer;
+    offer.id = id;
+    offer.priority = context.priority;
+    offer.caller = stableHash(context.caller);
+    offer.weight = context.weight;
+    offer.rank = context.rank;
+    offer.cost = costKey(context.kind, bodyBytes);
+    offer.deadline = context.deadline;
+    return offer;
+}
+
+CallToken openInbound(NodeDecisions& decisions, const CallContext& context)
+{
+    CallToken token = 0;
+    while (token == 0 || decisions.inbound.contains(token))
+        token = decisions.generator();
+    InboundCall inbound;
+    inbound.context = context;
+    inbound.allowance.remaining = context.allowance;
+    decisions.inbound.emplace(token, std::move(inbound));
+    return token;
+}
+
+CallFeedback feedbackFor(NodeDecisions& decisions, const CallContext& context, CallToken token)
+{
+    CallFeedback feedback;
+    feedback.unspent = context.allowance;
+    feedback.admitFraction
+        = admittedFraction(decisions.admission, context.priority, stableHash(context.caller));
+    feedback.inFlight = static_cast<std::uint32_t>(inFlight(decisions.admission));
+    feedback.waiting = static_cast<std::uint32_t>(decisions.admission.waiting.size());
+    const auto found = decisions.inbound.find(token);
+    if (found == decisions.inbound.end())
+        return feedback;
+    InboundCall& inbound = found->second;
+    feedback.unspent = inbound.allowance.remaining;
+    inbound.allowance.remaining = 0;
+    feedback.admitFraction = std::min(feedback.admitFraction, inbound.pathFraction);
+    feedback.hasFailedDeeper = inbound.hasChildFailed;
+    return feedback;
+}
+
+void closeInbound(NodeDecisions& decisions, CallToken token) { decisions.inbound.erase(token); }
+
+std::string makeRequestId(absl::Time now, std::uint64_t unique)
+{
+    return absl::StrCat("t", absl::ToUnixSeconds(now), "-", absl::Hex(unique));
+}
+
+} // namespace jackdawwall
--- a/src/main/node.cc
+++ b/src/main/node.cc
@@ -15,6 +15,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <random>
 
 namespace jackdawwall {
 namespace {
@@ -86,7 +87,8 @@
     self.controlAddress = process.gossip->address();
     self.operatorAddress = process.operatorPort->address();
     const absl::MutexLock lock(&node.mutex);
-    node.decisions.membership = makeMembership(self, {}, absl::Now());
+    std::random_device device;
+    node.decisions = makeNodeDecisions(self, device(), absl::Now());
 }
 
 void startTimers(NodeProcess& process)
@@ -95,7 +97,7 @@
     process.timers = std::make_unique<TimerService>();
     process.timers->subscribe(kAdmissionTick, [&node](absl::Time now) {
         const absl::MutexLock lock(&node.mutex);
-        wakeReleased(node.decisions, advanceTime(node.decisions.admission, now));
+        wakeReleased(node.waiters, advanceTime(node.decisions.admission, now));
     });
     process.timers->subscribe(
         absl::Seconds(1), [&node](absl::Time now) { node.pool.expire(now - kIdleConnectionTime); });
--- a/src/node/call-wire.cc
+++ b/src/node/call-wire.cc
@@ -1,5 +1,7 @@
 #include "node/call-wire.h"
 
+#include "generated/wire.pb.h"
+
 #include "absl/strings/escaping.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -30,7 +32,7 @@
     });
 }
 
-absl::Status checkNames(const CallerRequest& request)
+absl::Status checkNames(const CallAsk& request)
 {
     if (request.service.empty() && request.kind.empty())
         return absl::InvalidArgumentError("Jackdaw-Service or Jackdaw-Kind must be given");
@@ -44,7 +46,7 @@
     return absl::OkStatus();
 }
 
-absl::Status readDeadline(absl::string_view text, CallerRequest& request)
+absl::Status readDeadline(absl::string_view text, CallAsk& request)
 {
     if (text.empty())
         return absl::OkStatus();
@@ -55,7 +57,16 @@
     return absl::OkStatus();
 }
 
-absl::Status readRepeat(absl::string_view text, CallerRequest& request)
+absl::Status readToken(absl::string_view text, CallAsk& request)
+{
+    if (text.empty())
+        return absl::OkStatus();
+    if (!absl::SimpleHexAtoi(text, &request.parent) || request.parent == 0)
+        return absl::InvalidArgumentError("Jackdaw-Parent is not a token that a node gave out");
+    return absl::OkStatus();
+}
+
+absl::Status readRepeat(absl::string_view text, CallAsk& request)
 {
     if (!text.empty() && text != "never" && text != "idempotent")
         return absl::InvalidArgumentError("Jackdaw-Repeat must be \"never\" or \"idempotent\"");
@@ -63,6 +74,17 @@
     return absl::OkStatus();
 }
 
+std::string encodeMessage(const google::protobuf::MessageLite& message)
+{
+    return absl::WebSafeBase64Escape(message.SerializeAsString());
+}
+
+bool decodeMessage(absl::string_view value, google::protobuf::MessageLite& message)
+{
+    std::string bytes;
+    return absl::WebSafeBase64Unescape(value, &bytes) && message.ParseFromString(bytes);
+}
+
 int statusOf(const CallFailure& failure)
 {
     switch (failure.reason) {
@@ -107,15 +129,15 @@
 
 } // namespace
 
-absl::StatusOr<CallerRequest> readCallerRequest(const HttpHead& head)
+absl::StatusOr<CallAsk> readCallAsk(const HttpHead& head)
 {
-    CallerRequest request;
+    CallAsk request;
     request.service = std::string(findHeader(head.headers, kServiceHeader));
     request.caller = std::string(findHeader(head.headers, kCallerHeader));
     request.kind = std::string(findHeader(head.headers, kKindHeader));
     request.requestId = std::string(findHeader(head.headers, kRequestIdHeader));
-    request.parent = std::string(findHeader(head.headers, kParentHeader));
     absl::Status status = checkNames(request);
+    status.Update(readToken(findHeader(head.headers, kParentHeader), request));
     status.Update(readDeadline(findHeader(head.headers, kDeadlineHeader), request));
     status.Update(readRepeat(findHeader(head.headers, kRepeatHeader), request));
     if (!status.ok())
@@ -123,17 +145,64 @@
     return request;
 }
 
-std::string encodeHeader(const google::protobuf::MessageLite& message)
+std::string encodeContext(const CallContext& context, absl::Time now)
 {
-    return absl::WebSafeBase64Escape(message.SerializeAsString());
+    wire::CallContext message;
+    message.set_caller(context.caller);
+    message.set_kind(context.kind);
+    message.set_request_id(context.requestId);
+    message.set_priority(static_cast<std::uint32_t>(context.priority));
+    message.set_rank(context.rank);
+    message.set_weight(context.weight);
+    message.set_allowance(context.allowance);
+    const std::int64_t left = absl::ToInt64Milliseconds(context.deadline - now);
+    message.set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, left)));
+    message.set_repeatable(context.isRepeatable);
+    message.set_depth(context.depth);
+    return encodeMessage(message);
 }
 
-bool decodeHeader(absl::string_view value, google::protobuf::MessageLite& message)
+std::optional<CallContext> decodeContext(absl::string_view value, absl::Time now)
 {
-    std::string bytes;
-    return absl::WebSafeBase64Unescape(value, &bytes) && message.ParseFromString(bytes);
+    wire::CallContext message;
+    if (!decodeMessage(value, message) || message.priority() >= kPriorityCount)
+        return std::nullopt;
+    CallContext context;
+    context.caller = message.caller();
+    context.kind = message.kind();
+    context.requestId = message.request_id();
+    context.priority = static_cast<Priority>(message.priority());
+    context.rank = message.rank();
+    context.weight = message.weight();
+    context.allowance = message.allowance();
+    context.deadline = now + absl::Milliseconds(message.deadline_ms());
+    context.isRepeatable = message.repeatable();
+    context.depth = message.depth();
+    return context;
 }
 
+std::string encodeFeedback(const CallFeedback& feedback)
+{
+    wire::Feedback message;
+    message.set_unspent(feedback.unspent);
+    message.set_admit_fraction(feedback.admitFraction);
+    message.set_in_flight(feedback.inFlight);
+    message.set_waiting(feedback.waiting);
+    message.set_failed_deeper(feedback.hasFailedDeeper);
+    return encodeMessage(message);
+}
+
+std::optional<CallFeedback> decodeFeedback(absl::string_view value)
+{
+    wire::Feedback message;
+    if (value.empty() || !decodeMessage(value, message))
+        return std::nullopt;
+    return CallFeedback { message.unspent(), message.admit_fraction(), message.in_flight(), message.waiting(),
+        message.failed_deeper() };
+}
+
+std::string encodeToken(CallToken token) { return absl::StrCat(absl::Hex(token, absl::kZeroPad16)); }
+
 std::vector<HttpHeader> forwardedHeaders(const std::vector<HttpHeader>& headers)
 {
     std::vector<HttpHeader> kept;
--- a/src/node/call-wire.h
+++ b/src/node/call-wire.h
@@ -1,10 +1,9 @@
 /// Headers of a call, as callers send them and as nodes pass them on.
 #pragma once
 
-#include "jackdawwall/core.h"
+#include "jackdawwall/call-flow.h"
 
 #include "adapter/http-server.h"
-#include "generated/wire.pb.h"
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
@@ -34,24 +33,20 @@
 inline constexpr const char* kContextHeader = "Jackdaw-Context";
 inline constexpr const char* kFeedbackHeader = "Jackdaw-Feedback";
 
-/// What a caller asks for, read from its headers and checked.
-struct CallerRequest {
-    std::string service;
-    std::string caller;
-    std::string kind;
-    std::string requestId;
-    std::optional<absl::Duration> deadline;
-    bool asksOnce = false; ///< "Jackdaw-Repeat: never".
-    std::string parent; ///< Token of the inbound call that this one serves.
-};
-
 /// Reads and checks a caller's headers; the error's message says which one is wrong.
-absl::StatusOr<CallerRequest> readCallerRequest(const HttpHead& head);
+absl::StatusOr<CallAsk> readCallAsk(const HttpHead& head);
+
+/// The context as a header value, with the time that remains at `now`.
+std::string encodeContext(const CallContext& context, absl::Time now);
+/// Empty when the value is not a context.
+std::optional<CallContext> decodeContext(absl::string_view value, absl::Time now);
+
+std::string encodeFeedback(const CallFeedback& feedback);
+/// Empty when the value is not a feedback.
+std::optional<CallFeedback> decodeFeedback(absl::string_view value);
 
-/// A message as a header value.
-std::string encodeHeader(const google::protobuf::MessageLite& message);
-/// False when the value is not such a message.
-bool decodeHeader(absl::string_view value, google::protobuf::MessageLite& message);
+/// A token as the value of kParentHeader.
+std::string encodeToken(CallToken token);
 
 /// The headers that are passed on: without the product's own and those of one connection.
 std::vector<HttpHeader> forwardedHeaders(const std::vector<HttpHeader>& headers);
--- a/src/node/caller-side.cc
+++ b/src/node/caller-side.cc
@@ -1,8 +1,8 @@
 #include "node/caller-side.h"
 
+#include "node/attempt.h"
 #include "node/call-wire.h"
 #include "node/claim-store.h"
-#include "node/outgoing-call.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -49,10 +49,10 @@
     std::unique_ptr<HttpReply> begin() override
     {
         const absl::Time now = absl::Now();
-        absl::StatusOr<CallerRequest> request = readCallerRequest(head_);
-        if (!request.ok())
-            return std::make_unique<HttpReply>(failureReply(failureOf(request.status())));
-        absl::StatusOr<OutgoingCall> call = resolveCall(node_, *request, now);
+        const absl::StatusOr<CallAsk> ask = readCallAsk(head_);
+        if (!ask.ok())
+            return std::make_unique<HttpReply>(failureReply(failureOf(ask.status())));
+        absl::StatusOr<OutboundCall> call = open(*ask, now);
         if (!call.ok())
             return std::make_unique<HttpReply>(failureReply(failureOf(call.status())));
         call_ = *std::move(call);
@@ -84,69 +84,89 @@
     }
 
 private:
+    absl::StatusOr<OutboundCall> open(const CallAsk& ask, absl::Time now)
+    {
+        const std::shared_ptr<const Catalogue> catalogue = node_.catalogue();
+        const absl::MutexLock lock(&node_.mutex);
+        return openCall(node_.decisions, *catalogue, ask, now);
+    }
+
+    Reason refusalReason(absl::Time now)
+    {
+        const absl::MutexLock lock(&node_.mutex);
+        return refuseEarly(node_.decisions, *call_, now);
+    }
+
     std::optional<CallFailure> refuse(absl::Time now)
     {
-        const Reason reason = refuseEarly(node_, *call_, now);
+        const Reason reason = refusalReason(now);
         if (reason != Reason::None)
             return CallFailure { Outcome::NotRun, reason, "" };
-        if (call_->isRepeatable)
+        if (call_->context.isRepeatable)
             return std::nullopt;
         const std::string holder = absl::StrCat(node_.peerAddress, "/", absl::ToUnixNanos(now), "/",
             reinterpret_cast<std::uintptr_t>(this));
-        claim_ = claimRequest(node_.platform, call_->requestId, holder, now);
+        claim_ = claimRequest(node_.platform, call_->context.requestId, holder, now);
         return failureOf(claim_.end);
     }
 
     AttemptBody attemptBody() const { return { head_, body_, isStreamed_ }; }
 
+    /// Sends the next attempt; empty when no target is left.
+    std::optional<Attempt> sendAttempt()
+    {
+        std::optional<Sending> sending;
+        {
+            const absl::MutexLock lock(&node_.mutex);
+            sending = sendNext(node_.decisions, *call_, absl::Now());
+        }
+        if (!sending)
+            return std::nullopt;
+        return startAttempt(node_, *call_, *std::move(sending), attemptBody());
+    }
+
+    bool takeRetryFor(const AttemptEnd& end)
+    {
+        const absl::MutexLock lock(&node_.mutex);
+        const bool mayGoOn = mayRetry(node_.decisions, *call_, end, absl::Now());
+        if (mayGoOn)
+            node_.metrics.countRetry();
+        return mayGoOn;
+    }
+
     /// Finds a target that is ready for a large body before any of it is read.
     std::unique_ptr<HttpReply> beginStream()
     {
-        while (true) {
-            const std::string address = pickAddress(node_, *call_, tried_);
-            if (address.empty())
-                return std::make_unique<HttpReply>(failNoTarget());
-            tried_.push_back(address);
-            Attempt attempt = startAttempt(node_, *call_, address, attemptBody());
-            if (attempt.exchange->awaitContinue()) {
+        while (std::optional<Attempt> attempt = sendAttempt()) {
+            if (attempt->exchange->awaitContinue()) {
                 attempt_ = std::move(attempt);
                 return nullptr;
             }
-            const AttemptEnd end = concludeAttempt(node_, *call_, attempt);
-            worst_ = worse(worst_, end);
-            if (!takeAnotherAttempt(node_, *call_, end, absl::Now()))
-                return std::make_unique<HttpReply>(conclude(attempt, end));
+            const AttemptEnd end = concludeAttempt(node_, *call_, *attempt);
+            if (!takeRetryFor(end))
+                return std::make_unique<HttpReply>(conclude(*attempt, end));
         }
+        return std::make_unique<HttpReply>(failNoTarget());
     }
 
     HttpReply tryTargets()
     {
-        while (true) {
-            const std::string address = pickAddress(node_, *call_, tried_);
-            if (address.empty())
-                return failNoTarget();
-            tried_.push_back(address);
-            Attempt attempt = startAttempt(node_, *call_, address, attemptBody());
-            attempt = awaitAttempt(node_, *call_, std::move(attempt), attemptBody(), tried_);
+        while (std::optional<Attempt> sent = sendAttempt()) {
+            Attempt attempt = awaitAnswer(node_, *call_, *std::move(sent), attemptBody());
             const AttemptEnd end = concludeAttempt(node_, *call_, attempt);
-            if (end.outcome == Outcome::Ok || !takeAnotherAttempt(node_, *call_, end, absl::Now()))
+            if (end.outcome == Outcome::Ok || !takeRetryFor(end))
                 return conclude(attempt, end);
-            worst_ = worse(worst_, end);
             logEvent(LogLevel::Debug, "call-retried",
-                { { "request", call_->requestId }, { "target", address }, { "reason", toText(end.reason) } });
+                { { "request", call_->context.requestId }, { "target", attempt.sending.address },
+                    { "reason", toText(end.reason) } });
         }
-    }
-
-    /// The stronger doubt of two attempts: once one may have run, the call may have run.
-    static AttemptEnd worse(const AttemptEnd& left, const AttemptEnd& right)
-    {
-        return static_cast<int>(right.outcome) >= static_cast<int>(left.outcome) ? right : left;
+        return failNoTarget();
     }
 
     HttpReply failNoTarget()
     {
-        if (worst_.outcome != Outcome::Ok)
-            return fail({ worst_.outcome, worst_.reason, "" });
+        if (call_->worst.outcome != Outcome::Ok)
+            return fail({ call_->worst.outcome, call_->worst.reason, "" });
         return fail({ Outcome::NotRun, Reason::NoTarget, "no target of this service is known" });
     }
 
@@ -160,24 +180,25 @@
 
     void close(const AttemptEnd& end)
     {
-        closeCall(node_, *call_, end);
+        {
+            const absl::MutexLock lock(&node_.mutex);
+            closeCall(node_.decisions, *call_, end);
+        }
         const absl::Duration time = absl::Now() - call_->start;
-        node_.metrics.countCall({ call_->priority, end.outcome, end.reason }, time);
+        node_.metrics.countCall({ call_->context.priority, end.outcome, end.reason }, time);
         if (end.outcome != Outcome::Ok)
             logEvent(LogLevel::Debug, "call-failed",
-                { { "request", call_->requestId }, { "caller", call_->caller }, { "kind", call_->kind },
-                    { "outcome", toText(end.outcome) }, { "reason", toText(end.reason) } });
+                { { "request", call_->context.requestId }, { "caller", call_->context.caller },
+                    { "kind", call_->context.kind }, { "outcome", toText(end.outcome) },
+                    { "reason", toText(end.reason) } });
         call_.reset();
     }
 
     HttpReply conclude(Attempt& attempt, const AttemptEnd& end)
     {
-        const Exchange& exchange = *attempt.exchange;
-        const bool isAnswered = exchange.hasHead()
-            && (exchange.end() == ExchangeEnd::Running || exchange.end() == ExchangeEnd::Complete);
         const bool isFromTarget = end.outcome == Outcome::Ok || end.outcome == Outcome::Failed;
-        if (!isAnswered || !isFromTarget) {
-            const AttemptEnd final = worse(worst_, end);
+        if (!isAnswered(*attempt.exchange) || !isFromTarget) {
+            const AttemptEnd final = finalEnd(*call_, end);
             return fail({ final.outcome, final.reason, "" });
         }
         close(end);
@@ -194,7 +215,7 @@
             reply.headers.push_back({ kReasonHeader, std::string(toText(end.reason)) });
         if (attempt.exchange->end() == ExchangeEnd::Complete) {
             reply.body = std::move(attempt.exchange->buffered());
-            node_.pool.giveBack(attempt.address, std::move(attempt.exchange));
+            node_.pool.giveBack(attempt.sending.address, std::move(attempt.exchange));
             return reply;
         }
         reply.streamBytes = attempt.exchange->answerBytes();
@@ -223,13 +244,11 @@
 
     NodeState& node_;
     HttpHead head_;
-    std::optional<OutgoingCall> call_;
+    std::optional<OutboundCall> call_;
     Claim claim_;
     bool isStreamed_ = false;
     std::string body_;
-    std::vector<std::string> tried_;
     std::optional<Attempt> attempt_;
-    AttemptEnd worst_;
 };
 
 } // namespace
--- a/src/node/claim-store.cc
+++ b/src/node/claim-store.cc
@@ -60,11 +60,6 @@
     return absl::FromUnixSeconds(seconds);
 }
 
-std::string makeRequestId(absl::Time now, std::uint64_t unique)
-{
-    return absl::StrCat("t", absl::ToUnixSeconds(now), "-", absl::Hex(unique));
-}
-
 Claim claimRequest(
     const Platform& platform, absl::string_view requestId, const std::string& holder, absl::Time now)
 {
--- a/src/node/claim-store.h
+++ b/src/node/claim-store.h
@@ -34,9 +34,6 @@
 /// Time in a request id of the form "t<unix seconds>-<unique>"; InfinitePast when there is none.
 absl::Time requestIdTime(absl::string_view requestId);
 
-/// A new request id of that form; `unique` must differ for each.
-std::string makeRequestId(absl::Time now, std::uint64_t unique);
-
 /// Claims a request id; `holder` names this attempt uniquely, to recognise its own write when the answer to
 /// it was lost.
 Claim claimRequest(
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -37,16 +37,10 @@
 }
 
 /// Merges what was told and drops what was derived from the older view.
-void mergeTold(DecisionState& decisions, const std::vector<Member>& told)
+void mergeTold(NodeDecisions& decisions, const std::vector<Member>& told)
 {
-    const std::vector<Member> changed = mergeMembers(decisions.membership, told, absl::Now());
-    if (changed.empty())
-        return;
-    decisions.subsets.clear();
-    for (const Member& member : changed) {
-        if (member.status == MemberStatus::Dead || member.status == MemberStatus::Leaving)
-            forgetTarget(decisions.routing, member.peerAddress);
-    }
+    if (!mergeMembers(decisions.membership, told, absl::Now()).empty())
+        membersChanged(decisions);
 }
 
 void logMember(absl::string_view event, const Member& member)
@@ -137,7 +131,7 @@
 
 private:
     static bool mergeRequest(
-        DecisionState& decisions, const wire::ExchangeRequest& request, wire::ExchangeReply& reply)
+        NodeDecisions& decisions, const wire::ExchangeRequest& request, wire::ExchangeReply& reply)
     {
         MembershipState& membership = decisions.membership;
         const std::uint64_t before = membership.lastChange;
@@ -263,11 +257,10 @@
     const bool wantsAll = mismatches_ >= kMismatchesToCompare;
     mismatches_ = wantsAll ? 0 : mismatches_;
     const absl::MutexLock lock(&node_.mutex);
-    DecisionState& decisions = node_.decisions;
+    NodeDecisions& decisions = node_.decisions;
     for (const Member& member : advanceMembership(decisions.membership, absl::Now())) {
         logMember("member-dead", member);
-        decisions.subsets.clear();
-        forgetTarget(decisions.routing, member.peerAddress);
+        membersChanged(decisions);
     }
     std::vector<std::unique_ptr<Message>> messages;
     for (const Member& member : chooseNeighbours(decisions.membership, kSuccessors))
@@ -309,16 +302,16 @@
     const absl::Time now = absl::Now();
     {
         const absl::MutexLock lock(&node_.mutex);
-        DecisionState& decisions = node_.decisions;
+        NodeDecisions& decisions = node_.decisions;
         if (!message.status.ok()) {
             if (noteMissedHeartbeat(decisions.membership, neighbour, now)) {
-                decisions.subsets.clear();
+                membersChanged(decisions);
                 logMember("member-suspect", message.receiver);
             }
             return;
         }
         if (message.receiver.status != MemberStatus::Alive)
-            decisions.subsets.clear();
+            membersChanged(decisions);
         mergeTold(decisions, allFromWire(message.reply.updates()));
         noteHeartbeat(decisions.membership, neighbour, message.upTo, now);
         const bool differs = message.reply.member_digest() != memberDigest(decisions.membership);
--- a/src/node/node-state.cc
+++ b/src/node/node-state.cc
@@ -7,26 +7,14 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include <random>
 
 namespace jackdawwall {
 namespace {
 
-DecisionState makeDecisions()
+void wake(Waiters& waiters, CallId id, Reason reason)
 {
-    DecisionState decisions;
-    decisions.admission = makeAdmissionState({});
-    decisions.hedging = makeHedgeState({});
-    decisions.retries = makeRetryRatio({});
-    std::random_device device;
-    decisions.generator.seed(device());
-    return decisions;
-}
-
-void wake(DecisionState& decisions, CallId id, Reason reason)
-{
-    const auto found = decisions.waiters.find(id);
-    if (found == decisions.waiters.end())
+    const auto found = waiters.find(id);
+    if (found == waiters.end())
         return;
     found->second->isDecided = true;
     found->second->reason = reason;
@@ -40,7 +28,6 @@
 NodeState::NodeState(NodeSettings nodeSettings)
     : settings(std::move(nodeSettings))
     , platform(connectPlatform({ settings.platformAddresses, absl::Seconds(2) }, pool))
-    , decisions(makeDecisions())
     , catalogue_(std::make_shared<Catalogue>())
 {
 }
@@ -85,25 +72,12 @@
     return true;
 }
 
-const std::vector<Candidate>& candidatesFor(
-    DecisionState& decisions, const NodeSettings& settings, const std::string& service)
-{
-    const auto found = decisions.subsets.find(service);
-    if (found != decisions.subsets.end())
-        return found->second;
-    std::vector<Candidate> all;
-    for (const Member& member : routableMembers(decisions.membership, service))
-        all.push_back({ member.peerAddress, member.dataCentre == settings.dataCentre });
-    const std::size_t size = decisions.routing.options.subsetSize;
-    return decisions.subsets[service] = chooseSubset(all, decisions.membership.self, size);
-}
-
-void wakeReleased(DecisionState& decisions, const Release& release)
+void wakeReleased(Waiters& waiters, const Release& release)
 {
     for (const CallId id : release.started)
-        wake(decisions, id, Reason::None);
+        wake(waiters, id, Reason::None);
     for (const RefusedCall& refused : release.refused)
-        wake(decisions, refused.id, refused.reason);
+        wake(waiters, refused.id, refused.reason);
 }
 
 } // namespace jackdawwall
--- a/src/node/node-state.h
+++ b/src/node/node-state.h
@@ -1,13 +1,7 @@
 /// What the threads of one node share: the decision state behind one lock, and the catalogue in force.
 #pragma once
 
-#include "jackdawwall/admission.h"
-#include "jackdawwall/catalogue.h"
-#include "jackdawwall/hedging.h"
-#include "jackdawwall/membership.h"
-#include "jackdawwall/rate-limit.h"
-#include "jackdawwall/retry-budget.h"
-#include "jackdawwall/routing.h"
+#include "jackdawwall/call-flow.h"
 
 #include "adapter/connection-pool.h"
 #include "adapter/platform-client.h"
@@ -25,23 +19,6 @@
 
 namespace jackdawwall {
 
-/// A call that the own target is working on; calls that the target makes in turn belong to it.
-struct InboundCall {
-    std::string requestId;
-    std::string caller;
-    std::string kind;
-    Priority priority = Priority::Bulk;
-    std::uint32_t rank = 0;
-    std::uint32_t weight = 1;
-    std::uint32_t depth = 0;
-    bool isRepeatable = true;
-    absl::Time deadline;
-    Allowance allowance;
-    std::uint32_t pathFraction = kRankCount; ///< Least of the fractions heard from deeper services.
-    bool hasChildFailed = false;
-    std::uint32_t childCount = 0;
-};
-
 /// Wakes the thread of a waiting call.
 struct Waiter {
     int eventFd = -1;
@@ -49,20 +26,8 @@
     Reason reason = Reason::None; ///< None: started.
 };
 
-/// Decision state; free functions change it under the lock of NodeState.
-struct DecisionState {
-    AdmissionState admission;
-    RoutingState routing;
-    MembershipState membership;
-    HedgeState hedging;
-    RetryRatio retries;
-    RateLimitState callerLimits;
-    Generator generator;
-    absl::flat_hash_map<std::string, InboundCall> inbound; ///< By token.
-    absl::flat_hash_map<CallId, std::shared_ptr<Waiter>> waiters;
-    absl::flat_hash_map<std::string, std::vector<Candidate>> subsets; ///< By service; cleared on change.
-    CallId lastCallId = 0;
-};
+/// Threads whose calls wait for the own target, by call.
+using Waiters = absl::flat_hash_map<CallId, std::shared_ptr<Waiter>>;
 
 /// The catalogue version in force and since when.
 struct InForce {
@@ -84,7 +49,9 @@
     std::atomic<bool> isLeaving { false };
 
     absl::Mutex mutex;
-    DecisionState decisions ABSL_GUARDED_BY(mutex);
+    NodeDecisions decisions ABSL_GUARDED_BY(mutex);
+    Waiters waiters ABSL_GUARDED_BY(mutex);
+    CallId lastCallId ABSL_GUARDED_BY(mutex) = 0;
 
     /// The catalogue in force; never null.
     std::shared_ptr<const Catalogue> catalogue() const;
@@ -101,11 +68,7 @@
     absl::Time since_ ABSL_GUARDED_BY(catalogueMutex_);
 };
 
-/// Targets of a service that this node talks to, from the membership.
-const std::vector<Candidate>& candidatesFor(
-    DecisionState& decisions, const NodeSettings& settings, const std::string& service);
-
 /// Wakes the threads that a release names.
-void wakeReleased(DecisionState& decisions, const Release& release);
+void wakeReleased(Waiters& waiters, const Release& release);
 
 } // namespace jackdawwall
--- a/src/node/operator-port.cc
+++ b/src/node/operator-port.cc
@@ -106,7 +106,7 @@
         static_cast<double>(droppedLogEvents()));
     {
         const absl::MutexLock lock(&node.mutex);
-        const DecisionState& decisions = node.decisions;
+        const NodeDecisions& decisions = node.decisions;
         appendGauge(gauges, "jackdaw_limit", "Calls that may be in the own target.",
             currentLimit(decisions.admission.limit));
         appendGauge(gauges, "jackdaw_in_flight", "Calls in the own target.", inFlight(decisions.admission));
--- a/src/node/target-side.cc
+++ b/src/node/target-side.cc
@@ -21,29 +21,28 @@
 /// A call in the own target; gives its place to the next one when it ends.
 class RunningCallGuard {
 public:
-    RunningCallGuard(NodeState& node, CallId id, std::string token)
+    RunningCallGuard(NodeState& node, CallId id, CallToken token)
         : node_(node)
         , id_(id)
-        , token_(std::move(token))
+        , token_(token)
     {
     }
     ~RunningCallGuard()
     {
         const absl::MutexLock lock(&node_.mutex);
-        DecisionState& decisions = node_.decisions;
-        decisions.inbound.erase(token_);
-        wakeReleased(decisions, finishCall(decisions.admission, id_, end_, absl::Now()));
+        closeInbound(node_.decisions, token_);
+        wakeReleased(node_.waiters, finishCall(node_.decisions.admission, id_, end_, absl::Now()));
     }
     RunningCallGuard(const RunningCallGuard&) = delete;
     RunningCallGuard& operator=(const RunningCallGuard&) = delete;
 
     void setEnd(RunEnd end) { end_ = end; }
-    const std::string& token() const { return token_; }
+    CallToken token() const { return token_; }
 
 private:
     NodeState& node_;
     CallId id_;
-    std::string token_;
+    CallToken token_;
     RunEnd end_ = RunEnd::Lost;
 };
 
@@ -76,10 +75,12 @@
 
     std::unique_ptr<HttpReply> begin() override
     {
-        if (!decodeHeader(findHeader(head_.headers, kContextHeader), context_))
+        std::optional<CallContext> context
+            = decodeContext(findHeader(head_.headers, kContextHeader), absl::Now());
+        if (!context)
             return std::make_unique<HttpReply>(
                 failureReply({ Outcome::NotRun, Reason::BadRequest, "no Jackdaw-Context" }));
-        deadline_ = absl::Now() + absl::Milliseconds(context_.deadline_ms());
+        context_ = *std::move(context);
         isStreamed_ = head_.bodyBytes < 0 || head_.bodyBytes > kHeldBodyBytes;
         if (!isStreamed_)
             return nullptr;
@@ -114,41 +115,9 @@
     }
 
 private:
-    std::uint64_t callerHash() const { return stableHash(context_.caller()); }
-
-    Priority priority() const
-    {
-        return static_cast<Priority>(std::min<std::uint32_t>(context_.priority(), kPriorityCount - 1));
-    }
-
-    OfferedCall offeredCall(CallId id) const
+    std::uint64_t bodyBytes() const
     {
-        OfferedCall call;
-        call.id = id;
-        call.priority = priority();
-        call.caller = callerHash();
-        call.weight = context_.weight();
-        call.rank = context_.rank();
-        const std::int64_t bytes = head_.bodyBytes < 0 ? kHeldBodyBytes + 1 : head_.bodyBytes;
-        call.cost = costKey(context_.kind(), static_cast<std::uint64_t>(bytes));
-        call.deadline = deadline_;
-        return call;
-    }
-
-    InboundCall inboundCall() const
-    {
-        InboundCall inbound;
-        inbound.requestId = context_.request_id();
-        inbound.caller = context_.caller();
-        inbound.kind = context_.kind();
-        inbound.priority = priority();
-        inbound.rank = context_.rank();
-        inbound.weight = context_.weight();
-        inbound.depth = context_.depth();
-        inbound.isRepeatable = context_.repeatable();
-        inbound.deadline = deadline_;
-        inbound.allowance.remaining = context_.allowance();
-        return inbound;
+        return static_cast<std::uint64_t>(head_.bodyBytes < 0 ? kHeldBodyBytes + 1 : head_.bodyBytes);
     }
 
     /// Offers the call; waits if need be. Null when the call may run.
@@ -157,10 +126,10 @@
         CallId id = 0;
         const Reason reason = offerAndWait(id);
         const Outcome outcome = reason == Reason::None ? Outcome::Ok : Outcome::NotRun;
-        node_.metrics.countOffer({ priority(), outcome, reason });
+        node_.metrics.countOffer({ context_.priority, outcome, reason });
         if (reason != Reason::None) {
             logEvent(LogLevel::Debug, "offer-refused",
-                { { "request", context_.request_id() }, { "reason", toText(reason) } });
+                { { "request", context_.requestId }, { "reason", toText(reason) } });
             return std::make_unique<HttpReply>(withFeedback(failureReply({ outcome, reason, "" })));
         }
         start(id);
@@ -172,21 +141,21 @@
         auto waiter = std::make_shared<Waiter>();
         {
             const absl::MutexLock lock(&node_.mutex);
-            DecisionState& decisions = node_.decisions;
-            id = ++decisions.lastCallId;
-            const Decision decision = offerCall(decisions.admission, offeredCall(id), absl::Now());
+            AdmissionState& admission = node_.decisions.admission;
+            id = ++node_.lastCallId;
+            const Decision decision = offerCall(admission, toOffer(context_, id, bodyBytes()), absl::Now());
             if (decision.verdict != Verdict::Wait)
                 return decision.reason;
             waiter->eventFd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
             if (waiter->eventFd < 0) {
-                withdrawCall(decisions.admission, id);
+                withdrawCall(admission, id);
                 return Reason::Overload;
             }
-            decisions.waiters.emplace(id, waiter);
+            node_.waiters.emplace(id, waiter);
         }
         const bool isDecided = awaitDecision(*waiter, head_.socket);
         const absl::MutexLock lock(&node_.mutex);
-        node_.decisions.waiters.erase(id);
+        node_.waiters.erase(id);
         close(waiter->eventFd);
         if (!isDecided && withdrawCall(node_.decisions.admission, id))
             return Reason::Cancelled;
@@ -196,9 +165,7 @@
     void start(CallId id)
     {
         const absl::MutexLock lock(&node_.mutex);
-        DecisionState& decisions = node_.decisions;
-        const std::string token = absl::StrCat(absl::Hex(decisions.generator(), absl::kZeroPad16));
-        decisions.inbound.emplace(token, inboundCall());
+        const CallToken token = openInbound(node_.decisions, context_);
         running_ = std::make_shared<RunningCallGuard>(node_, id, token);
     }
 
@@ -208,17 +175,17 @@
         request.method = head_.method;
         request.url = absl::StrCat("http://", node_.settings.targetAddress, head_.target);
         request.headers = forwardedHeaders(head_.headers);
-        const std::int64_t left = absl::ToInt64Milliseconds(deadline_ - absl::Now());
-        request.headers.push_back({ kRequestIdHeader, context_.request_id() });
-        request.headers.push_back({ kCallerHeader, context_.caller() });
-        request.headers.push_back({ kKindHeader, context_.kind() });
+        const std::int64_t left = absl::ToInt64Milliseconds(context_.deadline - absl::Now());
+        request.headers.push_back({ kRequestIdHeader, context_.requestId });
+        request.headers.push_back({ kCallerHeader, context_.caller });
+        request.headers.push_back({ kKindHeader, context_.kind });
         request.headers.push_back({ kDeadlineHeader, absl::StrCat(std::max<std::int64_t>(1, left)) });
-        request.headers.push_back({ kParentHeader, running_->token() });
+        request.headers.push_back({ kParentHeader, encodeToken(running_->token()) });
         request.headers.push_back({ kNodeHeader, node_.callerAddress });
         request.body = body_;
         request.isStreamed = isStreamed_;
         request.streamBytes = head_.bodyBytes;
-        request.deadline = deadline_;
+        request.deadline = context_.deadline;
         request.watchedSocket = head_.socket;
         return request;
     }
@@ -249,7 +216,7 @@
         if (end == ExchangeEnd::Truncated)
             failure = { Outcome::Unknown, Reason::Truncated, "the target's answer broke off" };
         logEvent(LogLevel::Warning, "target-answer-lost",
-            { { "request", context_.request_id() }, { "reason", toText(failure.reason) } });
+            { { "request", context_.requestId }, { "reason", toText(failure.reason) } });
         HttpReply reply = withFeedback(failureReply(failure));
         running_.reset();
         return reply;
@@ -311,31 +278,16 @@
 
     HttpReply withFeedback(HttpReply reply)
     {
-        wire::Feedback feedback;
-        feedback.set_unspent(context_.allowance());
         const absl::MutexLock lock(&node_.mutex);
-        DecisionState& decisions = node_.decisions;
-        std::uint32_t fraction = admittedFraction(decisions.admission, priority(), callerHash());
-        if (running_) {
-            InboundCall& inbound = decisions.inbound.at(running_->token());
-            feedback.set_unspent(inbound.allowance.remaining);
-            // What is returned can't be spent here any more.
-            inbound.allowance.remaining = 0;
-            feedback.set_failed_deeper(inbound.hasChildFailed);
-            fraction = std::min(fraction, inbound.pathFraction);
-        }
-        feedback.set_admit_fraction(fraction);
-        feedback.set_in_flight(static_cast<std::uint32_t>(inFlight(decisions.admission)));
-        feedback.set_waiting(static_cast<std::uint32_t>(decisions.admission.waiting.size()));
-        feedback.set_leaving(node_.isLeaving);
-        reply.headers.push_back({ kFeedbackHeader, encodeHeader(feedback) });
+        const CallToken token = running_ ? running_->token() : 0;
+        reply.headers.push_back(
+            { kFeedbackHeader, encodeFeedback(feedbackFor(node_.decisions, context_, token)) });
         return reply;
     }
 
     NodeState& node_;
     HttpHead head_;
-    wire::CallContext context_;
-    absl::Time deadline_;
+    CallContext context_;
     bool isStreamed_ = false;
     std::string body_;
     std::unique_ptr<Exchange> exchange_;
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -122,8 +122,6 @@
     view.latencyAt = now;
 }
 
-void forgetTarget(RoutingState& state, const std::string& address) { state.targets.erase(address); }
-
 void notePathLevel(RoutingState& state, const PathKey& key, std::uint32_t fraction, absl::Time now)
 {
     if (fraction >= kRankCount) {
