--- /dev/null
+++ b/bench/reach-jackdaw.cc
@@ -0,0 +1,314 @@
+// Drives the real decisions of each node in virtual time.
+#include "bench/model.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace jackdawwall::bench {
+
+namespace {
+
+    constexpr absl::Duration kTick = absl::Milliseconds(10);
+
+    /// A call that reached a target's node.
+    struct Arrival {
+        CallContext context;
+        ModelCall call;
+        std::function<void(const AttemptReport&)> answer; ///< Empty once answered or cancelled.
+    };
+
+    struct NodeModel {
+        NodeDecisions decisions;
+        std::size_t service = 0;
+        std::size_t target = 0;
+        CallId lastCallId = 0;
+        absl::flat_hash_map<CallId, std::shared_ptr<Arrival>> waiting;
+    };
+
+    /// One outbound call with its copies under way.
+    struct Flow {
+        OutboundCall call;
+        ModelCall model;
+        Done done;
+        bool isClosed = false;
+        int open = 0; ///< Copies under way.
+        std::vector<CancellationPtr> copies;
+        std::vector<Sending> sendings;
+    };
+
+} // namespace
+
+class JackdawReach : public Reach {
+public:
+    JackdawReach(Fleet& fleet, std::uint64_t seed)
+        : fleet_(fleet)
+    {
+        makeCatalogue();
+        std::mt19937_64 seeds(seed);
+        for (std::size_t service = 0; service < fleet.targets_.size(); ++service) {
+            for (std::size_t target = 0; target < fleet.targets_[service].size(); ++target)
+                addNode(service, target, seeds());
+        }
+        introduceAll();
+        tick();
+    }
+
+    void call(const ModelCall& call, Done done) override
+    {
+        NodeModel& node = *nodes_[call.fromNode];
+        CallAsk ask;
+        ask.service = fleet_.model.services[call.service].name;
+        ask.kind = fleet_.model.kinds[call.kind].name;
+        ask.caller = fleet_.model.kinds[call.kind].caller;
+        ask.requestId = call.parent == 0 ? call.requestId : "";
+        ask.deadline = call.deadline - now();
+        ask.parent = call.parent;
+        absl::StatusOr<OutboundCall> opened = openCall(node.decisions, catalogue_, ask, now());
+        if (!opened.ok())
+            return done(false);
+        const Reason refusal = refuseEarly(node.decisions, *opened, now());
+        if (refusal != Reason::None) {
+            closeCall(node.decisions, *opened, { Outcome::NotRun, refusal });
+            return done(false);
+        }
+        auto flow = std::make_shared<Flow>();
+        flow->call = *std::move(opened);
+        flow->model = call;
+        flow->done = std::move(done);
+        call.cancellation->hooks.push_back([this, flow] { abandon(flow, Reason::Cancelled); });
+        fleet_.simulation.at(flow->call.context.deadline, [this, flow] { abandon(flow, Reason::Timeout); });
+        next(flow, { Outcome::NotRun, Reason::NoTarget });
+    }
+
+private:
+    absl::Time now() const { return fleet_.simulation.now(); }
+
+    NodeModel& nodeOf(const Flow& flow) { return *nodes_[flow.model.fromNode]; }
+
+    void makeCatalogue()
+    {
+        catalogue_.version = 1;
+        for (const KindModel& kind : fleet_.model.kinds) {
+            WorkEntry work;
+            work.name = kind.name;
+            work.priority = kind.priority;
+            work.isRepeatable = kind.isRepeatable;
+            work.deadline = fleet_.model.deadline;
+            work.attempts = fleet_.model.attempts;
+            catalogue_.works[work.name] = work;
+            CallerEntry caller;
+            caller.name = kind.caller;
+            caller.weight = kind.weight;
+            caller.callsPerSecond = kind.callsPerSecond;
+            catalogue_.callers[caller.name] = caller;
+        }
+    }
+
+    void addNode(std::size_t service, std::size_t target, std::uint64_t seed)
+    {
+        Member self;
+        self.peerAddress = absl::StrCat(service, ".", target);
+        self.incarnation = 1;
+        self.service = fleet_.model.services[service].name;
+        self.dataCentre = "one";
+        auto node = std::make_unique<NodeModel>();
+        node->decisions = makeNodeDecisions(self, seed, now());
+        node->service = service;
+        node->target = target;
+        byAddress_[self.peerAddress] = nodes_.size();
+        nodes_.push_back(std::move(node));
+    }
+
+    void introduceAll()
+    {
+        std::vector<Member> all;
+        for (const auto& node : nodes_)
+            all.push_back(allMembers(node->decisions.membership).front());
+        for (const auto& node : nodes_)
+            mergeMembers(node->decisions.membership, all, now());
+    }
+
+    void tick()
+    {
+        for (const auto& node : nodes_)
+            release(*node, advanceTime(node->decisions.admission, now()));
+        fleet_.simulation.after(kTick, [this] { tick(); });
+    }
+
+    void next(const std::shared_ptr<Flow>& flow, const AttemptEnd& last)
+    {
+        std::optional<Sending> sending = sendNext(nodeOf(*flow).decisions, flow->call, now());
+        if (!sending)
+            return close(flow, finalEnd(flow->call, last));
+        const absl::Duration delay = hedgeAfter(nodeOf(*flow).decisions, flow->call);
+        send(flow, *std::move(sending));
+        if (delay == absl::InfiniteDuration())
+            return;
+        const std::size_t copies = flow->copies.size();
+        fleet_.simulation.after(delay, [this, flow, copies] { hedge(flow, copies); });
+    }
+
+    void hedge(const std::shared_ptr<Flow>& flow, std::size_t copies)
+    {
+        if (flow->isClosed || flow->copies.size() != copies || flow->open != 1)
+            return;
+        std::optional<Sending> sending = sendHedge(nodeOf(*flow).decisions, flow->call, now());
+        if (sending)
+            send(flow, *std::move(sending));
+    }
+
+    void send(const std::shared_ptr<Flow>& flow, Sending sending)
+    {
+        ++fleet_.roots_[flow->model.root].sends;
+        ++flow->open;
+        auto arrival = std::make_shared<Arrival>();
+        arrival->context = flow->call.context;
+        arrival->call = flow->model;
+        arrival->call.cancellation = std::make_shared<Cancellation>();
+        const std::size_t copy = flow->copies.size();
+        flow->copies.push_back(arrival->call.cancellation);
+        flow->sendings.push_back(sending);
+        arrival->answer = [this, flow, copy](const AttemptReport& report) {
+            fleet_.simulation.after(
+                fleet_.model.networkDelay, [this, flow, copy, report] { settle(flow, copy, report); });
+        };
+        const std::size_t receiver = byAddress_.at(sending.address);
+        fleet_.simulation.after(
+            fleet_.model.networkDelay, [this, receiver, arrival] { arrive(*nodes_[receiver], arrival); });
+    }
+
+    void settle(const std::shared_ptr<Flow>& flow, std::size_t copy, const AttemptReport& report)
+    {
+        if (flow->isClosed || flow->copies[copy]->isCancelled)
+            return;
+        --flow->open;
+        NodeDecisions& decisions = nodeOf(*flow).decisions;
+        noteReport(decisions, flow->call, flow->sendings[copy], report, now());
+        flow->copies[copy]->isCancelled = true;
+        if (report.end.outcome == Outcome::Ok)
+            return close(flow, report.end);
+        if (flow->open > 0)
+            return; // The other copy may still answer.
+        if (mayRetry(decisions, flow->call, report.end, now()))
+            return next(flow, report.end);
+        close(flow, finalEnd(flow->call, report.end));
+    }
+
+    void dropCopies(Flow& flow)
+    {
+        for (std::size_t copy = 0; copy < flow.copies.size(); ++copy) {
+            if (flow.copies[copy]->isCancelled)
+                continue;
+            noteLoser(nodeOf(flow).decisions, flow.sendings[copy], now());
+            const CancellationPtr cancellation = flow.copies[copy];
+            fleet_.simulation.after(fleet_.model.networkDelay, [cancellation] { cancellation->cancel(); });
+        }
+    }
+
+    void close(const std::shared_ptr<Flow>& flow, const AttemptEnd& end)
+    {
+        if (std::exchange(flow->isClosed, true))
+            return;
+        dropCopies(*flow);
+        closeCall(nodeOf(*flow).decisions, flow->call, end);
+        const Done done = std::exchange(flow->done, nullptr);
+        done(end.outcome == Outcome::Ok);
+    }
+
+    void abandon(const std::shared_ptr<Flow>& flow, Reason reason)
+    {
+        close(flow, { Outcome::Unknown, reason });
+    }
+
+    void arrive(NodeModel& node, const std::shared_ptr<Arrival>& arrival)
+    {
+        if (arrival->call.cancellation->isCancelled)
+            return;
+        const CallId id = ++node.lastCallId;
+        const Decision decision
+            = offerCall(node.decisions.admission, toOffer(arrival->context, id, 0), now());
+        if (decision.verdict == Verdict::Start)
+            return run(node, id, arrival);
+        if (decision.verdict == Verdict::Refuse)
+            return refuse(node, arrival, decision.reason);
+        node.waiting.emplace(id, arrival);
+        arrival->call.cancellation->hooks.push_back([this, &node, id] {
+            if (node.waiting.erase(id) > 0)
+                withdrawCall(node.decisions.admission, id);
+        });
+    }
+
+    void refuse(NodeModel& node, const std::shared_ptr<Arrival>& arrival, Reason reason)
+    {
+        AttemptReport report;
+        report.end = { Outcome::NotRun, reason };
+        report.isAnswered = true;
+        report.feedback = feedbackFor(node.decisions, arrival->context, 0);
+        arrival->answer(report);
+    }
+
+    void release(NodeModel& node, const Release& release)
+    {
+        for (const RefusedCall& refused : release.refused) {
+            const std::shared_ptr<Arrival> arrival = node.waiting.extract(refused.id).mapped();
+            refuse(node, arrival, refused.reason);
+        }
+        for (const CallId id : release.started) {
+            const std::shared_ptr<Arrival> arrival = node.waiting.extract(id).mapped();
+            run(node, id, arrival);
+        }
+    }
+
+    void run(NodeModel& node, CallId id, const std::shared_ptr<Arrival>& arrival)
+    {
+        const CallToken token = openInbound(node.decisions, arrival->context);
+        auto job = std::make_shared<TargetModel::Job>();
+        job->root = arrival->call.root;
+        job->workFactor = fleet_.model.kinds[arrival->call.kind].workFactor;
+        job->cancellation = arrival->call.cancellation;
+        job->done = [this, &node, id, token, arrival](bool isOk) { finish(node, id, token, arrival, isOk); };
+        if (node.service + 1 < fleet_.model.services.size())
+            job->next = [this, &node, token, arrival](const Done& done) {
+                ModelCall onward = arrival->call;
+                ++onward.service;
+                onward.parent = token;
+                onward.fromNode = byAddress_.at(node.decisions.membership.self);
+                onward.deadline = arrival->context.deadline;
+                call(onward, done);
+            };
+        if (node.service == 0)
+            ++fleet_.roots_[job->root].executions;
+        if (!fleet_.targets_[node.service][node.target]->accept(job, fleet_.roots_)) {
+            closeInbound(node.decisions, token);
+            release(node, finishCall(node.decisions.admission, id, RunEnd::RefusedByTarget, now()));
+            refuse(node, arrival, Reason::TargetShed);
+        }
+    }
+
+    void finish(NodeModel& node, CallId id, CallToken token, const std::shared_ptr<Arrival>& arrival, bool isOk)
+    {
+        AttemptReport report;
+        report.isAnswered = true;
+        report.feedback = feedbackFor(node.decisions, arrival->context, token);
+        const bool hasFailedDeeper = report.feedback->hasFailedDeeper;
+        if (!isOk)
+            report.end = { Outcome::Failed, Reason::TargetFailed, !hasFailedDeeper };
+        closeInbound(node.decisions, token);
+        const bool isLost = arrival->call.cancellation->isCancelled;
+        const RunEnd end = isLost ? RunEnd::Lost : RunEnd::Completed;
+        release(node, finishCall(node.decisions.admission, id, end, now()));
+        if (!isLost)
+            arrival->answer(report);
+    }
+
+    Fleet& fleet_;
+    Catalogue catalogue_;
+    std::vector<std::unique_ptr<NodeModel>> nodes_;
+    absl::flat_hash_map<std::string, std::size_t> byAddress_;
+};
+
+std::unique_ptr<Reach> makeJackdawReach(Fleet& fleet, std::uint64_t seed)
+{
+    return std::make_unique<JackdawReach>(fleet, seed);
+}
+
+} // namespace jackdawwall::bench
--- /dev/null
+++ b/bench/scenarios.cc
@@ -0,0 +1,352 @@
+#include "bench/scenarios.h"
+
+#include "bench/model.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <ostream>
+
+namespace jackdawwall::bench {
+namespace {
+
+constexpr std::array<const char*, 3> kVariantTexts { "jackdawwall", "none", "static" };
+constexpr absl::Duration kWarmUp = absl::Seconds(3);
+constexpr absl::Duration kRecoveryBin = absl::Milliseconds(250);
+constexpr double kRecoveredShare = 0.95;
+
+/// One run: a fleet, and where its measures go.
+struct Run {
+    Simulation simulation;
+    std::unique_ptr<Fleet> fleet;
+    absl::Time start;
+    std::ostream* out = nullptr;
+    std::string scenario;
+    Variant variant = Variant::None;
+    int seed = 0;
+
+    void print(absl::string_view measure, double value, absl::string_view unit) const
+    {
+        *out << "measure=" << measure << " scenario=" << scenario
+             << " variant=" << kVariantTexts.at(static_cast<std::size_t>(variant)) << " value=" << value
+             << " unit=" << unit << " seed=" << seed << "\n";
+    }
+};
+
+/// Requests sent in a stretch of time, of some kinds.
+struct Selection {
+    absl::Time from;
+    absl::Time to;
+    int kind = -1; ///< -1: all.
+};
+
+bool isSelected(const RootRecord& root, const Selection& selection)
+{
+    return root.sent >= selection.from && root.sent < selection.to
+        && (selection.kind < 0 || static_cast<int>(root.kind) == selection.kind);
+}
+
+double wholePerSecond(const Fleet& fleet, const Selection& selection)
+{
+    double whole = 0;
+    for (const RootRecord& root : fleet.roots())
+        whole += isSelected(root, selection) && root.isWhole ? 1 : 0;
+    return whole / absl::ToDoubleSeconds(selection.to - selection.from);
+}
+
+double wholeShare(const Fleet& fleet, const Selection& selection)
+{
+    double whole = 0;
+    double sent = 0;
+    for (const RootRecord& root : fleet.roots()) {
+        if (!isSelected(root, selection))
+            continue;
+        ++sent;
+        whole += root.isWhole ? 1 : 0;
+    }
+    return sent == 0 ? 0 : whole / sent;
+}
+
+double latencyMs(const Fleet& fleet, const Selection& selection, double quantile)
+{
+    std::vector<double> values;
+    for (const RootRecord& root : fleet.roots()) {
+        if (isSelected(root, selection) && root.isWhole)
+            values.push_back(absl::ToDoubleMilliseconds(root.latency));
+    }
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1))];
+}
+
+/// Share of slot time that went into requests without a whole answer.
+double wastedShare(const Fleet& fleet, const Selection& selection)
+{
+    absl::Duration wasted;
+    absl::Duration all;
+    for (const RootRecord& root : fleet.roots()) {
+        if (!isSelected(root, selection))
+            continue;
+        all += root.slotTime;
+        wasted += root.isWhole ? absl::ZeroDuration() : root.slotTime;
+    }
+    return all == absl::ZeroDuration() ? 0 : absl::FDivDuration(wasted, all);
+}
+
+/// Largest number of sends beyond one for each service of the chain, in one try of a client.
+int mostExtraAttempts(const Fleet& fleet)
+{
+    int most = 0;
+    for (const RootRecord& root : fleet.roots())
+        most = std::max(most, root.sends);
+    return most;
+}
+
+/// Time after `from` until all later bins are served to 95%; the whole rest when that never happens.
+double recoverySeconds(const Fleet& fleet, absl::Time from, absl::Time end)
+{
+    absl::Time recovered = from;
+    for (absl::Time bin = from; bin + kRecoveryBin <= end; bin += kRecoveryBin) {
+        if (wholeShare(fleet, { bin, bin + kRecoveryBin }) < kRecoveredShare)
+            recovered = bin + kRecoveryBin;
+    }
+    return absl::ToDoubleSeconds(recovered - from);
+}
+
+std::vector<KindModel> threeClasses()
+{
+    KindModel booking { "booking", "crew-leads", Priority::Critical, true, 0.1 };
+    KindModel status { "status", "managers", Priority::Interactive, true, 0.4 };
+    KindModel browse { "browse", "visitors", Priority::Browse, true, 0.5 };
+    return { booking, status, browse };
+}
+
+/// A chain whose last service is the narrowest, as Prairie's ledger is.
+FleetModel chainOf(int depth)
+{
+    FleetModel model;
+    for (int index = 0; index < depth; ++index) {
+        ServiceModel service;
+        service.name = absl::StrCat("s", index);
+        service.work = absl::Milliseconds(2);
+        service.slots = 100;
+        model.services.push_back(service);
+    }
+    model.services.back().slots = 10;
+    model.services.back().work = absl::Milliseconds(20);
+    model.kinds = threeClasses();
+    return model;
+}
+
+/// Whole requests a second that the narrowest service can serve.
+double capacityOf(const FleetModel& model)
+{
+    const ServiceModel& last = model.services.back();
+    return last.targets * last.slots / absl::ToDoubleSeconds(last.work);
+}
+
+void startRun(Run& run, FleetModel model)
+{
+    run.fleet = std::make_unique<Fleet>(
+        run.simulation, std::move(model), run.variant, static_cast<std::uint64_t>(run.seed));
+    run.start = run.simulation.now() + kWarmUp;
+}
+
+void runSurge(Run& run, int depth)
+{
+    const FleetModel model = chainOf(depth);
+    const double capacity = capacityOf(model);
+    constexpr absl::Duration kSurge = absl::Seconds(10);
+    constexpr absl::Duration kAfter = absl::Seconds(10);
+    startRun(run, model);
+    Fleet& fleet = *run.fleet;
+    fleet.demand(run.simulation.now(), kWarmUp, 0.8 * capacity);
+    fleet.demand(run.start, kSurge, 8 * capacity);
+    fleet.demand(run.start + kSurge, kAfter, 0.8 * capacity);
+    run.simulation.runUntil(run.start + kSurge + kAfter + absl::Seconds(5));
+    const Selection surge { run.start, run.start + kSurge };
+    run.print("goodput", wholePerSecond(fleet, surge) / capacity, "share-of-capacity");
+    run.print("top-class", wholeShare(fleet, { surge.from, surge.to, 0 }), "share-whole");
+    run.print("wasted", wastedShare(fleet, surge), "share-of-slot-time");
+    run.print("extra-attempts", mostExtraAttempts(fleet) - depth, "sends");
+    run.print("recovery", recoverySeconds(fleet, surge.to, surge.to + kAfter), "s");
+}
+
+void runSurge5(Run& run) { runSurge(run, 5); }
+void runSurge17(Run& run) { runSurge(run, 17); }
+
+/// A deep service slows 20 times for a while and clients retry hard: the bad state must not outlast it.
+void runSlowDeep(Run& run)
+{
+    const FleetModel model = chainOf(5);
+    constexpr absl::Duration kSlow = absl::Seconds(5);
+    constexpr absl::Duration kAfter = absl::Seconds(20);
+    startRun(run, model);
+    Fleet& fleet = *run.fleet;
+    fleet.demand(run.simulation.now(), kWarmUp + kSlow + kAfter, 0.8 * capacityOf(model));
+    run.simulation.runUntil(run.start);
+    for (TargetModel* target : fleet.targetsOf(4))
+        target->slowness = 20;
+    run.simulation.runUntil(run.start + kSlow);
+    for (TargetModel* target : fleet.targetsOf(4))
+        target->slowness = 1;
+    run.simulation.runUntil(run.start + kSlow + kAfter + absl::Seconds(5));
+    const absl::Time end = run.start + kSlow;
+    run.print("recovery", recoverySeconds(fleet, end, end + kAfter), "s");
+    run.print("goodput-after", wholeShare(fleet, { end, end + kAfter }), "share-whole");
+}
+
+void runSwing(Run& run)
+{
+    const FleetModel model = chainOf(3);
+    const double capacity = capacityOf(model);
+    startRun(run, model);
+    Fleet& fleet = *run.fleet;
+    fleet.demand(run.simulation.now(), kWarmUp, 0.5 * capacity);
+    // From 0.5 to 4 times the capacity inside 5 s, and held there.
+    constexpr int kSteps = 50;
+    for (int step = 0; step < kSteps; ++step)
+        fleet.demand(run.start + step * absl::Milliseconds(100), absl::Milliseconds(100),
+            capacity * (0.5 + 3.5 * step / kSteps));
+    const absl::Time crest = run.start + absl::Seconds(5);
+    fleet.demand(crest, absl::Seconds(3), 4 * capacity);
+    run.simulation.runUntil(crest + absl::Seconds(8));
+    run.print("crest-first-second", wholePerSecond(fleet, { crest, crest + absl::Seconds(1) }) / capacity,
+        "share-of-capacity");
+    run.print("crest", wholePerSecond(fleet, { crest, crest + absl::Seconds(3) }) / capacity,
+        "share-of-capacity");
+}
+
+/// Short reads beside uploads that take 40 times as long, at full load.
+double shortTail(Run& run, bool hasUploads)
+{
+    FleetModel model;
+    ServiceModel desk { "hist-desk", 3, 100, 700, absl::Milliseconds(5) };
+    model.services = { desk };
+    model.deadline = absl::Seconds(5);
+    KindModel read { "history-read", "ferry-masters", Priority::Interactive, true, 1 };
+    KindModel upload { "photo-upload", "ramp-keepers", Priority::Interactive, true, 1, 40 };
+    model.kinds = { read, upload };
+    const double reads = 0.5 * capacityOf(model);
+    const double uploads = 0.6 * capacityOf(model) / upload.workFactor;
+    run.simulation = Simulation();
+    startRun(run, model);
+    Fleet& fleet = *run.fleet;
+    constexpr absl::Duration kLength = absl::Seconds(10);
+    fleet.demandOf(0, run.simulation.now(), kWarmUp + kLength, reads);
+    if (hasUploads)
+        fleet.demandOf(1, run.simulation.now(), kWarmUp + kLength, uploads);
+    run.simulation.runUntil(run.start + kLength + absl::Seconds(5));
+    return latencyMs(fleet, { run.start, run.start + kLength, 0 }, 0.99);
+}
+
+void runUploads(Run& run)
+{
+    const double without = shortTail(run, false);
+    const double with = shortTail(run, true);
+    run.print("short-p99-without", without, "ms");
+    run.print("short-p99-with", with, "ms");
+    run.print("short-p99-ratio", with / without, "ratio");
+    run.print("short-whole", wholeShare(*run.fleet, { run.start, run.start + absl::Seconds(10), 0 }),
+        "share-whole");
+}
+
+double stragglerTail(Run& run, double slowness)
+{
+    FleetModel model;
+    ServiceModel desk { "hist-desk", 3, 100, 700, absl::Milliseconds(10) };
+    model.services = { desk };
+    model.kinds = { { "history-read", "ferry-masters", Priority::Interactive, true, 1 } };
+    run.simulation = Simulation();
+    startRun(run, model);
+    Fleet& fleet = *run.fleet;
+    constexpr absl::Duration kLength = absl::Seconds(10);
+    // 40% of the capacity, so that two targets can carry it.
+    fleet.demand(run.simulation.now(), kWarmUp + kLength, 0.4 * capacityOf(model));
+    run.simulation.runUntil(run.start - absl::Seconds(1));
+    fleet.targetsOf(0).front()->slowness = slowness;
+    run.simulation.runUntil(run.start + kLength + absl::Seconds(5));
+    return latencyMs(fleet, { run.start, run.start + kLength }, 0.99);
+}
+
+void runStraggler(Run& run)
+{
+    const double without = stragglerTail(run, 1);
+    const double with = stragglerTail(run, 20);
+    run.print("p99-without", without, "ms");
+    run.print("p99-with", with, "ms");
+    run.print("p99-ratio", with / without, "ratio");
+    run.print("whole", wholeShare(*run.fleet, { run.start, run.start + absl::Seconds(10) }), "share-whole");
+}
+
+/// One caller sends 100 times its share; the others' goodput must change little.
+void runGreedy(Run& run)
+{
+    FleetModel model = chainOf(2);
+    model.kinds.clear();
+    constexpr int kCallers = 5;
+    for (int index = 0; index < kCallers; ++index)
+        model.kinds.push_back(
+            { absl::StrCat("read", index), absl::StrCat("caller", index), Priority::Interactive, true, 1 });
+    const double capacity = capacityOf(model);
+    startRun(run, model);
+    Fleet& fleet = *run.fleet;
+    constexpr absl::Duration kLength = absl::Seconds(8);
+    const double fair = 0.7 * capacity / kCallers;
+    for (std::size_t kind = 0; kind < kCallers; ++kind)
+        fleet.demandOf(kind, run.simulation.now(), kWarmUp + kLength, fair);
+    fleet.demandOf(0, run.start, kLength, 99 * fair);
+    run.simulation.runUntil(run.start + kLength + absl::Seconds(5));
+    double others = 0;
+    for (int kind = 1; kind < kCallers; ++kind)
+        others += wholeShare(fleet, { run.start + absl::Seconds(1), run.start + kLength, kind });
+    run.print("others-whole", others / (kCallers - 1), "share-whole");
+    run.print("goodput", wholePerSecond(fleet, { run.start, run.start + kLength }) / capacity,
+        "share-of-capacity");
+}
+
+struct Scenario {
+    const char* name;
+    void (*run)(Run&);
+};
+
+constexpr std::array<Scenario, 7> kScenarios { { { "surge-5-deep", &runSurge5 },
+    { "surge-17-deep", &runSurge17 }, { "slow-deep", &runSlowDeep }, { "swing", &runSwing },
+    { "short-behind-long", &runUploads }, { "straggler", &runStraggler }, { "greedy-caller", &runGreedy } } };
+
+bool isChosen(const std::vector<std::string>& chosen, const std::string& name)
+{
+    return chosen.empty() || std::find(chosen.begin(), chosen.end(), name) != chosen.end();
+}
+
+void runOne(const Scenario& scenario, Variant variant, int seed, std::ostream& out)
+{
+    Run run;
+    run.out = &out;
+    run.scenario = scenario.name;
+    run.variant = variant;
+    run.seed = seed;
+    scenario.run(run);
+    out.flush();
+}
+
+} // namespace
+
+void runScenarios(const ScenarioChoice& choice, std::ostream& out)
+{
+    for (const Scenario& scenario : kScenarios) {
+        if (!isChosen(choice.scenarios, scenario.name))
+            continue;
+        for (std::size_t variant = 0; variant < kVariantTexts.size(); ++variant) {
+            if (!isChosen(choice.variants, kVariantTexts.at(variant)))
+                continue;
+            for (int seed = 1; seed <= choice.seeds; ++seed)
+                runOne(scenario, static_cast<Variant>(variant), seed, out);
+        }
+    }
+}
+
+} // namespace jackdawwall::bench
--- /dev/null
+++ b/bench/scenarios.h
@@ -0,0 +1,19 @@
+/// The scenarios that the measures are taken from.
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace jackdawwall::bench {
+
+struct ScenarioChoice {
+    std::vector<std::string> scenarios; ///< Empty: all.
+    std::vector<std::string> variants; ///< Empty: all.
+    int seeds = 3;
+};
+
+/// Runs and prints "measure=... scenario=... variant=... value=... unit=... seed=...".
+void runScenarios(const ScenarioChoice& choice, std::ostream& out);
+
+} // namespace jackdawwall::bench
