Limit judged on own time against quiet calls; demand told by the fraction that upstream kept

(1) Upper services took the delay of deeper ones for their own queueing and lowered their limits; the node now subtracts the time that its target spends on calls through it. (2) The base of the limit was learned at up to 0.7 of the limit and drifted up with it; it now comes from calls started below half the limit, found by short dips, and is held only against calls started above 0.8. (3) Demand was guessed from the ranks below the own fraction although nodes upstream refuse by other fractions; each call now says the fraction it came through and stands for 256 over it. Ruled out: a windowed minimum (collapses with exponential times) and a dip of a whole window (costs 0.4% and gives too few samples). Also a fault of the bench: calls cancelled in the fake target's queue never ended.

--- a/bench/bench-main.cc
+++ b/bench/bench-main.cc
@@ -15,8 +15,9 @@
         TCLAP::MultiArg<std::string> only("s", "scenario", "Only this scenario", false, "NAME", line);
         TCLAP::MultiArg<std::string> variants("v", "variant", "Only this variant", false, "NAME", line);
         TCLAP::ValueArg<int> seeds("n", "seeds", "Seeds 1 to N", false, 3, "N", line);
+        TCLAP::SwitchArg trace("t", "trace", "Prints the nodes' states as well", line);
         line.parse(argc, argv);
-        bench::runScenarios({ only.getValue(), variants.getValue(), seeds.getValue() }, std::cout);
+        bench::runScenarios({ only.getValue(), variants.getValue(), seeds.getValue(), trace.getValue() }, std::cout);
         return kExitOk;
     });
 }
--- a/bench/model.cc
+++ b/bench/model.cc
@@ -41,6 +41,8 @@
         queue_.pop_front();
         if (!job->cancellation->isCancelled)
             run(job, roots);
+        else if (const Done done = std::exchange(job->done, nullptr))
+            done(false);
     }
 }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <iosfwd>
 #include <memory>
 #include <string>
 #include <vector>
@@ -116,6 +117,7 @@
     absl::Duration clientBackoff = absl::Milliseconds(50);
     absl::Duration networkDelay = absl::Microseconds(250); ///< One way.
     std::uint32_t attempts = 3; ///< Allowance of a root request.
+    std::ostream* trace = nullptr; ///< Each node's state every 100 ms.
 };
 
 /// Reaches services; one for each variant.
--- a/bench/reach-jackdaw.cc
+++ b/bench/reach-jackdaw.cc
@@ -3,11 +3,14 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <ostream>
+
 namespace jackdawwall::bench {
 
 namespace {
 
     constexpr absl::Duration kTick = absl::Milliseconds(10);
+    constexpr int kTicksPerTrace = 10;
 
     /// A call that reached a target's node.
     struct Arrival {
@@ -67,7 +70,7 @@
             return done(false);
         const Reason refusal = refuseEarly(node.decisions, *opened, now());
         if (refusal != Reason::None) {
-            closeCall(node.decisions, *opened, { Outcome::NotRun, refusal });
+            closeCall(node.decisions, *opened, { Outcome::NotRun, refusal }, now());
             return done(false);
         }
         auto flow = std::make_shared<Flow>();
@@ -131,9 +134,29 @@
     {
         for (const auto& node : nodes_)
             release(*node, advanceTime(node->decisions.admission, now()));
+        if (fleet_.model.trace != nullptr && ++ticks_ % kTicksPerTrace == 0)
+            trace();
         fleet_.simulation.after(kTick, [this] { tick(); });
     }
 
+    /// First node of each service.
+    void trace()
+    {
+        for (const auto& node : nodes_) {
+            if (node->target != 0)
+                continue;
+            const AdmissionState& admission = node->decisions.admission;
+            *fleet_.model.trace << "t=" << absl::ToUnixMillis(now()) % 1000000 << " service=" << node->service
+                                << " limit=" << currentLimit(admission.limit)
+                                << " inflight=" << inFlight(admission) << " waiting=" << admission.waiting.size()
+                                << " budget=" << admission.share.budget;
+            for (const auto& [key, demand] : admission.share.demands)
+                *fleet_.model.trace << " " << toText(key.priority) << "=" << demand.fraction << "/"
+                                    << demand.demand;
+            *fleet_.model.trace << "\n";
+        }
+    }
+
     void next(const std::shared_ptr<Flow>& flow, const AttemptEnd& last)
     {
         std::optional<Sending> sending = sendNext(nodeOf(*flow).decisions, flow->call, now());
@@ -209,7 +232,7 @@
         if (std::exchange(flow->isClosed, true))
             return;
         dropCopies(*flow);
-        closeCall(nodeOf(*flow).decisions, flow->call, end);
+        closeCall(nodeOf(*flow).decisions, flow->call, end, now());
         const Done done = std::exchange(flow->done, nullptr);
         done(end.outcome == Outcome::Ok);
     }
@@ -278,8 +301,9 @@
         if (node.service == 0)
             ++fleet_.roots_[job->root].executions;
         if (!fleet_.targets_[node.service][node.target]->accept(job, fleet_.roots_)) {
-            closeInbound(node.decisions, token);
-            release(node, finishCall(node.decisions.admission, id, RunEnd::RefusedByTarget, now()));
+            const absl::Duration elsewhere = closeInbound(node.decisions, token, now());
+            release(node,
+                finishCall(node.decisions.admission, id, RunEnd::RefusedByTarget, elsewhere, now()));
             refuse(node, arrival, Reason::TargetShed);
         }
     }
@@ -292,16 +316,17 @@
         const bool hasFailedDeeper = report.feedback->hasFailedDeeper;
         if (!isOk)
             report.end = { Outcome::Failed, Reason::TargetFailed, !hasFailedDeeper };
-        closeInbound(node.decisions, token);
+        const absl::Duration elsewhere = closeInbound(node.decisions, token, now());
         const bool isLost = arrival->call.cancellation->isCancelled;
         const RunEnd end = isLost ? RunEnd::Lost : RunEnd::Completed;
-        release(node, finishCall(node.decisions.admission, id, end, now()));
+        release(node, finishCall(node.decisions.admission, id, end, elsewhere, now()));
         if (!isLost)
             arrival->answer(report);
     }
 
     Fleet& fleet_;
     Catalogue catalogue_;
+    int ticks_ = 0;
     std::vector<std::unique_ptr<NodeModel>> nodes_;
     absl::flat_hash_map<std::string, std::size_t> byAddress_;
 };
--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -26,6 +26,7 @@
     std::string scenario;
     Variant variant = Variant::None;
     int seed = 0;
+    bool hasTrace = false;
 
     void print(absl::string_view measure, double value, absl::string_view unit) const
     {
@@ -150,6 +151,7 @@
 
 void startRun(Run& run, FleetModel model)
 {
+    model.trace = run.hasTrace ? run.out : nullptr;
     run.fleet = std::make_unique<Fleet>(
         run.simulation, std::move(model), run.variant, static_cast<std::uint64_t>(run.seed));
     run.start = run.simulation.now() + kWarmUp;
@@ -322,13 +324,14 @@
     return chosen.empty() || std::find(chosen.begin(), chosen.end(), name) != chosen.end();
 }
 
-void runOne(const Scenario& scenario, Variant variant, int seed, std::ostream& out)
+void runOne(const Scenario& scenario, Variant variant, int seed, bool hasTrace, std::ostream& out)
 {
     Run run;
     run.out = &out;
     run.scenario = scenario.name;
     run.variant = variant;
     run.seed = seed;
+    run.hasTrace = hasTrace;
     scenario.run(run);
     out.flush();
 }
@@ -344,7 +347,7 @@
             if (!isChosen(choice.variants, kVariantTexts.at(variant)))
                 continue;
             for (int seed = 1; seed <= choice.seeds; ++seed)
-                runOne(scenario, static_cast<Variant>(variant), seed, out);
+                runOne(scenario, static_cast<Variant>(variant), seed, choice.hasTrace, out);
         }
     }
 }
--- a/bench/scenarios.h
+++ b/bench/scenarios.h
@@ -11,6 +11,7 @@
     std::vector<std::string> scenarios; ///< Empty: all.
     std::vector<std::string> variants; ///< Empty: all.
     int seeds = 3;
+    bool hasTrace = false;
 };
 
 /// Runs and prints "measure=... scenario=... variant=... value=... unit=... seed=...".
--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -27,6 +27,7 @@
     std::uint64_t caller = 0; ///< stableHash of the caller's name.
     double weight = 1;
     std::uint32_t rank = 0;
+    std::uint32_t keptFraction = kRankCount; ///< Ranks below this came through all nodes upstream.
     CostKey cost = 0; ///< Work kind and size bucket.
     absl::Time deadline = absl::InfiniteFuture();
 };
@@ -112,14 +113,16 @@
 /// Example:
 ///     AdmissionState state = makeAdmissionState({});
 ///     Decision decision = offerCall(state, call, now);
-///     if (decision.verdict == Verdict::Start) { run(); finishCall(state, call.id, RunEnd::Completed, now); }
+///     if (decision.verdict == Verdict::Start) { run(); finishCall(state, call.id, RunEnd::Completed, {}, now); }
 AdmissionState makeAdmissionState(const AdmissionOptions& options);
 
 /// Offers a call. Start: it is running. Wait: a later Release names it. Refuse: it never ran.
 Decision offerCall(AdmissionState& state, const OfferedCall& call, absl::Time now);
 
-/// Ends a running call; the release names the calls that take its place.
-Release finishCall(AdmissionState& state, CallId id, RunEnd end, absl::Time now);
+/// Ends a running call, which spent `elsewhere` waiting for calls of its own to other services. The release
+/// names the calls that take its place.
+Release finishCall(
+    AdmissionState& state, CallId id, RunEnd end, absl::Duration elsewhere, absl::Time now);
 
 /// Forgets a waiting call whose caller gave up. False when it is no longer waiting.
 bool withdrawCall(AdmissionState& state, CallId id);
--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -36,6 +36,7 @@
     std::string requestId;
     Priority priority = Priority::Browse;
     std::uint32_t rank = 0;
+    std::uint32_t keptFraction = kRankCount; ///< Ranks below this came through all nodes so far.
     std::uint32_t weight = 1;
     std::uint32_t allowance = 0; ///< Extra attempts that the receiver may spend.
     std::uint32_t depth = 0;
@@ -59,6 +60,9 @@
     std::uint32_t pathFraction = kRankCount; ///< Least of the fractions heard from deeper services.
     bool hasChildFailed = false;
     std::uint32_t childCount = 0;
+    int openChildren = 0; ///< Calls of the target to other services under way.
+    absl::Time childrenSince; ///< Since when there is one.
+    absl::Duration elsewhere; ///< Time with a child under way.
 };
 
 /// All decision states of one node.
@@ -124,7 +128,7 @@
     NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, absl::Time now);
 
 /// Refusals that need no target: the caller's limit, and ranks that the path does not admit.
-Reason refuseEarly(NodeDecisions& decisions, const OutboundCall& call, absl::Time now);
+Reason refuseEarly(NodeDecisions& decisions, OutboundCall& call, absl::Time now);
 
 /// Chooses a target that was not tried and lends it its allowance; empty when there is none.
 std::optional<Sending> sendNext(NodeDecisions& decisions, OutboundCall& call, absl::Time now);
@@ -148,8 +152,9 @@
 /// End of the whole call: an answer, else the strongest doubt over all attempts.
 AttemptEnd finalEnd(const OutboundCall& call, const AttemptEnd& last);
 
-/// Gives the unspent allowance and the result back to the parent.
-void closeCall(NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end);
+/// Gives the unspent allowance and the result back to the parent. Every opened call must be closed once.
+void closeCall(
+    NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end, absl::Time now);
 
 /// The call as the admission sees it.
 OfferedCall toOffer(const CallContext& context, CallId id, std::uint64_t bodyBytes);
@@ -161,8 +166,8 @@
 /// be spent here any more.
 CallFeedback feedbackFor(NodeDecisions& decisions, const CallContext& context, CallToken token);
 
-/// The target's answer was passed on or lost.
-void closeInbound(NodeDecisions& decisions, CallToken token);
+/// The target's answer was passed on or lost. Returns the time that the target spent waiting for others.
+absl::Duration closeInbound(NodeDecisions& decisions, CallToken token, absl::Time now);
 
 /// A new request id of the form "t<unix seconds>-<unique>".
 std::string makeRequestId(absl::Time now, std::uint64_t unique);
--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -18,21 +18,24 @@
     double minimum = 2; ///< Calls.
     double maximum = 2048; ///< Calls.
     double tolerance = 1.25; ///< Mean time over base time that still counts as free of queueing.
-    double quietShare = 0.7; ///< Calls started below this share of the limit teach the base.
-    int minimumSamples = 8; ///< Completions before a window is judged.
-    absl::Duration dipInterval = absl::Seconds(10); ///< Between lowered windows while saturated.
+    double quietShare = 0.5; ///< Calls started below this share of the limit teach the base.
+    double fullShare = 0.8; ///< Calls started above this share of the limit are held against the base.
+    int minimumSamples = 8; ///< Completions before a strong slowdown is believed.
+    int enoughSamples = 100; ///< Completions after which a slight one is.
+    absl::Duration shortestDipInterval = absl::Milliseconds(500); ///< Between dips while saturated.
+    double dipIntervalTimes = 50; ///< And at least this many times the mean call, so that dips cost about 1%.
 };
 
 /// Times of one work kind in the target, in seconds.
 struct KindCost {
-    double base = 0; ///< Mean without queueing; 0 until the first sample.
-    double mean = 0; ///< Recent mean.
+    double base = 0; ///< Mean own time without queueing; 0 until the first sample.
+    double mean = 0; ///< Recent mean of the whole time.
     double count = 0; ///< Samples behind base, capped.
 };
 
 /// Completions since the last judgement.
 struct LimitWindow {
-    double timeSum = 0; ///< Seconds.
+    double timeSum = 0; ///< Own time, seconds.
     double baseSum = 0; ///< Seconds.
     int samples = 0;
     int targetRefusals = 0;
@@ -43,7 +46,9 @@
     double limit = 0;
     double ceiling = 0; ///< Limit before a dip.
     double proven = 0; ///< Largest recent limit without queueing; a decrease stops at half of it.
-    bool isDipping = false;
+    bool isDipping = false; ///< Lowered for a moment, so that some calls show the time without queueing.
+    int dipStarts = 0; ///< Calls started in this dip.
+    double meanTime = 0; ///< Seconds, over all kinds.
     bool hasSeenQueueing = false; ///< Ends the doubling of a cold start.
     absl::Time nextDip = absl::InfinitePast();
     LimitWindow window;
@@ -53,12 +58,18 @@
 /// State of a target about which nothing is known.
 LimitState makeLimitState(const LimitOptions& options);
 
-/// Notes a start so that the window knows whether the limit was reached.
+/// Notes a start with the calls now in the target: tells whether the limit is reached, and ends a dip.
 void noteStart(LimitState& state, int inFlight);
 
+/// How long a call was in the target.
+struct RunTime {
+    absl::Duration whole;
+    absl::Duration own; ///< Without the time spent on calls to other services: their delay is not this target's.
+};
+
 /// Notes a whole run in the target. Refusals and connection failures must not be passed: their short times
 /// would raise the limit.
-void noteRun(LimitState& state, const LimitOptions& options, CostKey key, absl::Duration time,
+void noteRun(LimitState& state, const LimitOptions& options, CostKey key, const RunTime& time,
     int inFlightAtStart);
 
 /// Notes that the target itself refused a call.
--- a/include/jackdawwall/fair-share.h
+++ b/include/jackdawwall/fair-share.h
@@ -29,8 +29,8 @@
 /// Offered work of one key; work is in seconds of target time.
 struct ShareDemand {
     double weight = 1;
-    double seen = 0; ///< This window, all ranks.
-    double seenBelow = 0; ///< This window, ranks below the fraction.
+    double offered = 0; ///< This window, with what nodes upstream refused.
+    int arrivals = 0; ///< This window.
     double demand = 0; ///< Smoothed, per second, before any refusal.
     std::uint32_t fraction = kRankCount;
     int idleWindows = 0;
@@ -66,8 +66,17 @@
 /// Largest fraction that may follow `fraction` one window later: opening in steps sends no crowd.
 std::uint32_t raisedFraction(std::uint32_t fraction);
 
-/// Notes an offered call, whether it is served or not.
-void noteOffer(ShareState& state, const ShareKey& key, double weight, std::uint32_t rank, double work);
+/// A call offered to the target, whether it is served or not.
+struct ShareOffer {
+    ShareKey key;
+    double weight = 1;
+    double work = 0; ///< Seconds of target time.
+    std::uint32_t keptFraction = kRankCount; ///< Ranks below this came through all nodes upstream.
+};
+
+/// Notes an offered call. It stands for kRankCount / keptFraction calls, since ranks are spread evenly
+/// (Horvitz and Thompson, 1952); so the demand is known although most of it is refused upstream.
+void noteOffer(ShareState& state, const ShareOffer& offer);
 
 /// Moves the budget and divides it anew; call it once a window.
 void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window);
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -154,10 +154,12 @@
     state.startedCount = 0;
 }
 
-void noteCompleted(AdmissionState& state, const RunningCall& running, absl::Time now)
+void noteCompleted(
+    AdmissionState& state, const RunningCall& running, absl::Duration elsewhere, absl::Time now)
 {
     const absl::Duration time = now - running.since;
-    noteRun(state.limit, state.options.limit, running.cost, time, running.inFlightAtStart);
+    const RunTime runTime { time, std::max(absl::ZeroDuration(), time - elsewhere) };
+    noteRun(state.limit, state.options.limit, running.cost, runTime, running.inFlightAtStart);
     state.completedWork += expectedSeconds(state, running.cost);
     const double seconds = absl::ToDoubleSeconds(time);
     state.meanTime = state.meanTime == 0 ? seconds : state.meanTime + kMeanWeight * (seconds - state.meanTime);
@@ -178,7 +180,7 @@
     if (state.isDraining)
         return { Verdict::Refuse, Reason::Leaving };
     const ShareKey key { call.priority, call.caller };
-    noteOffer(state.share, key, call.weight, call.rank, expectedSeconds(state, call.cost));
+    noteOffer(state.share, { key, call.weight, expectedSeconds(state, call.cost), call.keptFraction });
     if (now + absl::Seconds(expectedSeconds(state, call.cost)) > call.deadline)
         return { Verdict::Refuse, Reason::Deadline };
     if (call.rank >= admittedFraction(state.share, key))
@@ -192,7 +194,8 @@
     return { Verdict::Wait, Reason::None };
 }
 
-Release finishCall(AdmissionState& state, CallId id, RunEnd end, absl::Time now)
+Release finishCall(
+    AdmissionState& state, CallId id, RunEnd end, absl::Duration elsewhere, absl::Time now)
 {
     Release release;
     const auto found = state.running.find(id);
@@ -202,7 +205,7 @@
     state.running.erase(found);
     state.longInFlight -= running.isLong ? 1 : 0;
     if (end == RunEnd::Completed)
-        noteCompleted(state, running, now);
+        noteCompleted(state, running, elsewhere, now);
     if (end == RunEnd::RefusedByTarget)
         noteTargetRefusal(state.limit);
     startWaiting(state, now, release);
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -27,16 +27,19 @@
 }
 
 /// A call made by the own target belongs to the request that the target is working on.
-absl::Status applyParent(NodeDecisions& decisions, OutboundCall& call)
+absl::Status applyParent(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
 {
     const auto found = decisions.inbound.find(call.parent);
     if (found == decisions.inbound.end())
         return absl::CancelledError("the request that this call belongs to has ended");
     InboundCall& parent = found->second;
+    if (parent.openChildren++ == 0)
+        parent.childrenSince = now;
     CallContext& context = call.context;
     context.caller = parent.context.caller;
     context.priority = parent.context.priority;
     context.rank = parent.context.rank;
+    context.keptFraction = parent.context.keptFraction;
     context.weight = parent.context.weight;
     context.depth = parent.context.depth + 1;
     context.deadline = std::min(context.deadline, parent.context.deadline);
@@ -141,7 +144,7 @@
         return absl::InvalidArgumentError("no service is given and the kind of work names none");
     if (call.parent == 0) {
         applyRoot(decisions, call, now);
-    } else if (const absl::Status status = applyParent(decisions, call); !status.ok()) {
+    } else if (const absl::Status status = applyParent(decisions, call, now); !status.ok()) {
         return status;
     }
     call.path
@@ -149,12 +152,14 @@
     return call;
 }
 
-Reason refuseEarly(NodeDecisions& decisions, const OutboundCall& call, absl::Time now)
+Reason refuseEarly(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
 {
     if (!takeCall(decisions.callerLimits, call.path.caller, call.callsPerSecond, now))
         return Reason::CallerLimit;
-    if (call.context.rank >= pathLevel(decisions.routing, call.path, now))
+    const std::uint32_t level = pathLevel(decisions.routing, call.path, now);
+    if (call.context.rank >= level)
         return Reason::Overload;
+    call.context.keptFraction = std::min(call.context.keptFraction, level);
     noteFirstAttempt(decisions.retries, {});
     return Reason::None;
 }
@@ -213,13 +218,16 @@
     return last.outcome == Outcome::Ok ? last : worseOf(call.worst, last);
 }
 
-void closeCall(NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end)
+void closeCall(NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end, absl::Time now)
 {
-    const auto parent = decisions.inbound.find(call.parent);
-    if (parent == decisions.inbound.end())
+    const auto found = decisions.inbound.find(call.parent);
+    if (found == decisions.inbound.end())
         return;
-    parent->second.allowance.remaining += call.allowance.remaining;
-    parent->second.hasChildFailed = parent->second.hasChildFailed || end.outcome != Outcome::Ok;
+    InboundCall& parent = found->second;
+    parent.allowance.remaining += call.allowance.remaining;
+    parent.hasChildFailed = parent.hasChildFailed || end.outcome != Outcome::Ok;
+    if (--parent.openChildren == 0)
+        parent.elsewhere += now - parent.childrenSince;
 }
 
 OfferedCall toOffer(const CallContext& context, CallId id, std::uint64_t bodyBytes)
@@ -230,6 +238,7 @@
     offer.caller = stableHash(context.caller);
     offer.weight = context.weight;
     offer.rank = context.rank;
+    offer.keptFraction = context.keptFraction;
     offer.cost = costKey(context.kind, bodyBytes);
     offer.deadline = context.deadline;
     return offer;
@@ -242,6 +251,9 @@
         token = decisions.generator();
     InboundCall inbound;
     inbound.context = context;
+    const std::uint32_t fraction
+        = admittedFraction(decisions.admission, context.priority, stableHash(context.caller));
+    inbound.context.keptFraction = std::min(context.keptFraction, std::max(fraction, context.rank + 1));
     inbound.allowance.remaining = context.allowance;
     decisions.inbound.emplace(token, std::move(inbound));
     return token;
@@ -266,7 +278,18 @@
     return feedback;
 }
 
-void closeInbound(NodeDecisions& decisions, CallToken token) { decisions.inbound.erase(token); }
+absl::Duration closeInbound(NodeDecisions& decisions, CallToken token, absl::Time now)
+{
+    const auto found = decisions.inbound.find(token);
+    if (found == decisions.inbound.end())
+        return absl::ZeroDuration();
+    const InboundCall& inbound = found->second;
+    absl::Duration elsewhere = inbound.elsewhere;
+    if (inbound.openChildren > 0)
+        elsewhere += now - inbound.childrenSince;
+    decisions.inbound.erase(found);
+    return elsewhere;
+}
 
 std::string makeRequestId(absl::Time now, std::uint64_t unique)
 {
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -1,13 +1,18 @@
 #include "jackdawwall/concurrency-limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jackdawwall {
 namespace {
 
-constexpr double kBaseSampleCap = 200;
+constexpr double kBaseSampleCap = 100;
+constexpr double kFirstSamples = 32;
+constexpr double kNoiseWidth = 1.5;
 constexpr double kMeanWeight = 0.1;
-constexpr double kDipShare = 0.6;
+constexpr double kDipShare = 0.45;
+constexpr double kDipStartShare = 0.3;
+constexpr int kFewestDipStarts = 8;
 constexpr double kGrowth = 1.1;
 constexpr double kColdGrowth = 2.0;
 constexpr double kStrongestDecrease = 0.7;
@@ -48,39 +53,66 @@
     state.limit = state.ceiling;
 }
 
+absl::Duration dipInterval(const LimitState& state, const LimitOptions& options)
+{
+    return std::max(options.shortestDipInterval, absl::Seconds(options.dipIntervalTimes * state.meanTime));
+}
+
+/// While the limit is reached all the time no call would start in a quiet target.
 void maybeDip(LimitState& state, const LimitOptions& options, absl::Time now)
 {
     if (now < state.nextDip)
         return;
-    const bool isFirst = state.nextDip == absl::InfinitePast();
-    state.nextDip = now + options.dipInterval;
-    if (isFirst)
-        return;
+    state.nextDip = now + dipInterval(state, options);
     state.isDipping = true;
+    state.dipStarts = 0;
     state.ceiling = state.limit;
-    state.limit = std::max(options.minimum, state.limit * kDipShare);
+    state.limit = std::max(1.0, state.limit * kDipShare);
 }
 
-void judge(LimitState& state, const LimitOptions& options, absl::Time now)
+double slowdownOf(const LimitWindow& window)
 {
-    const LimitWindow& window = state.window;
-    const double slowdown = window.baseSum > 0 ? window.timeSum / window.baseSum : 1;
+    return window.baseSum > 0 ? window.timeSum / window.baseSum : 1;
+}
+
+/// Slowdown that chance explains less and less, the more samples there are.
+double believedSlowdown(const LimitWindow& window, const LimitOptions& options)
+{
+    return options.tolerance + kNoiseWidth / std::sqrt(static_cast<double>(window.samples));
+}
+
+void judge(LimitState& state, const LimitOptions& options)
+{
+    const double slowdown = slowdownOf(state.window);
+    const double allowed
+        = state.hasSeenQueueing ? options.tolerance : believedSlowdown(state.window, options);
     state.proven *= kProvenDecay;
-    if (window.targetRefusals > kRefusalShare * window.samples) {
-        state.hasSeenQueueing = true;
-        shrink(state, options, kRefusalDecrease);
-        return;
-    }
-    if (slowdown > options.tolerance) {
+    if (slowdown > allowed) {
         state.hasSeenQueueing = true;
         shrink(state, options, std::max(kStrongestDecrease, options.tolerance / slowdown));
         return;
     }
-    state.proven = std::max(state.proven, static_cast<double>(window.peakInFlight));
-    if (!isBinding(state))
-        return;
+    state.proven = std::max(state.proven, static_cast<double>(state.window.peakInFlight));
     grow(state, options);
-    maybeDip(state, options, now);
+}
+
+bool hasRefusedMuch(const LimitWindow& window)
+{
+    return window.targetRefusals > kRefusalShare * window.samples;
+}
+
+/// True when the window tells enough to move the limit.
+bool isConclusive(const LimitState& state, const LimitOptions& options)
+{
+    const LimitWindow& window = state.window;
+    if (window.samples >= options.enoughSamples)
+        return true;
+    if (window.samples < options.minimumSamples)
+        return false;
+    if (!state.hasSeenQueueing)
+        return true;
+    const double slowdown = slowdownOf(window);
+    return slowdown > believedSlowdown(window, options) || slowdown <= 1;
 }
 
 } // namespace
@@ -95,19 +127,27 @@
 void noteStart(LimitState& state, int inFlight)
 {
     state.window.peakInFlight = std::max(state.window.peakInFlight, inFlight);
+    if (!state.isDipping || inFlight > state.limit)
+        return;
+    ++state.dipStarts;
+    if (state.dipStarts >= std::max<double>(kFewestDipStarts, kDipStartShare * state.ceiling))
+        endDip(state);
 }
 
 void noteRun(
-    LimitState& state, const LimitOptions& options, CostKey key, absl::Duration time, int inFlightAtStart)
+    LimitState& state, const LimitOptions& options, CostKey key, const RunTime& time, int inFlightAtStart)
 {
     if (state.costs.size() >= kMaximumKinds && !state.costs.contains(key))
         state.costs.clear();
     KindCost& cost = state.costs[key];
-    const double seconds = absl::ToDoubleSeconds(time);
-    const double quietLimit = options.quietShare * (state.isDipping ? state.ceiling : state.limit);
-    if (cost.count == 0 || inFlightAtStart <= quietLimit)
+    const double seconds = absl::ToDoubleSeconds(time.own);
+    const double limit = state.isDipping ? state.ceiling : state.limit;
+    if (cost.count < kFirstSamples || inFlightAtStart <= options.quietShare * limit)
         learnBase(cost, seconds);
-    learnMean(cost, seconds);
+    learnMean(cost, absl::ToDoubleSeconds(time.whole));
+    state.meanTime += kMeanWeight * (absl::ToDoubleSeconds(time.whole) - state.meanTime);
+    if (inFlightAtStart < options.fullShare * limit - 1)
+        return;
     state.window.timeSum += seconds;
     state.window.baseSum += cost.base;
     ++state.window.samples;
@@ -117,13 +157,22 @@
 
 void closeWindow(LimitState& state, const LimitOptions& options, absl::Time now)
 {
-    if (state.window.samples + state.window.targetRefusals < options.minimumSamples)
-        return;
     if (state.isDipping)
-        endDip(state);
-    else
-        judge(state, options, now);
-    state.window = LimitWindow {};
+        return;
+    const bool wasBinding = isBinding(state);
+    if (hasRefusedMuch(state.window)) {
+        state.hasSeenQueueing = true;
+        shrink(state, options, kRefusalDecrease);
+        state.window = LimitWindow {};
+    } else if (!wasBinding) {
+        // A window in which the limit was not reached says nothing about it.
+        state.window = LimitWindow {};
+    } else if (isConclusive(state, options)) {
+        judge(state, options);
+        state.window = LimitWindow {};
+    }
+    if (wasBinding)
+        maybeDip(state, options, now);
 }
 
 int currentLimit(const LimitState& state) { return static_cast<int>(state.limit); }
--- a/src/fair-share.cc
+++ b/src/fair-share.cc
@@ -9,25 +9,26 @@
 namespace {
 
 constexpr double kDemandWeight = 0.3;
+constexpr double kLeastDemandWeight = 0.05;
+constexpr int kEnoughArrivals = 10;
 constexpr double kBudgetSwing = 0.1;
 constexpr int kForgetAfterWindows = 50;
 constexpr std::size_t kMaximumDemands = 8192;
 constexpr std::uint32_t kSmallestRise = 8;
 
-double offeredWork(const ShareDemand& demand)
+/// Windows with few arrivals move the estimate less.
+double smoothing(int arrivals)
 {
-    // Upstream nodes already refuse ranks at or above the fraction, so the ranks below it tell the whole.
-    const double inferred = demand.seenBelow * kRankCount / forwardedFraction(demand.fraction);
-    return std::max(demand.seen, inferred);
+    const double trust = std::min(1.0, static_cast<double>(arrivals) / kEnoughArrivals);
+    return std::max(kLeastDemandWeight, kDemandWeight * trust);
 }
 
 void updateDemand(ShareDemand& demand, double seconds)
 {
-    const double rate = offeredWork(demand) / seconds;
-    demand.idleWindows = demand.seen > 0 ? 0 : demand.idleWindows + 1;
-    demand.demand += kDemandWeight * (rate - demand.demand);
-    demand.seen = 0;
-    demand.seenBelow = 0;
+    demand.idleWindows = demand.arrivals > 0 ? 0 : demand.idleWindows + 1;
+    demand.demand += smoothing(demand.arrivals) * (demand.offered / seconds - demand.demand);
+    demand.offered = 0;
+    demand.arrivals = 0;
 }
 
 void updateDemands(ShareState& state, double seconds)
@@ -125,15 +126,14 @@
     return std::min(kRankCount, fraction + std::max(kSmallestRise, fraction / 2));
 }
 
-void noteOffer(ShareState& state, const ShareKey& key, double weight, std::uint32_t rank, double work)
+void noteOffer(ShareState& state, const ShareOffer& offer)
 {
-    if (state.demands.size() >= kMaximumDemands && !state.demands.contains(key))
+    if (state.demands.size() >= kMaximumDemands && !state.demands.contains(offer.key))
         return;
-    ShareDemand& demand = state.demands[key];
-    demand.weight = std::max(weight, 0.01);
-    demand.seen += work;
-    if (rank < forwardedFraction(demand.fraction))
-        demand.seenBelow += work;
+    ShareDemand& demand = state.demands[offer.key];
+    demand.weight = std::max(offer.weight, 0.01);
+    demand.offered += offer.work * kRankCount / std::max(offer.keptFraction, kProbeRanks);
+    ++demand.arrivals;
 }
 
 void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window)
--- a/src/node/call-wire.cc
+++ b/src/node/call-wire.cc
@@ -159,6 +159,7 @@
     message.set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, left)));
     message.set_repeatable(context.isRepeatable);
     message.set_depth(context.depth);
+    message.set_kept_fraction(context.keptFraction);
     return encodeMessage(message);
 }
 
@@ -178,6 +179,7 @@
     context.deadline = now + absl::Milliseconds(message.deadline_ms());
     context.isRepeatable = message.repeatable();
     context.depth = message.depth();
+    context.keptFraction = message.kept_fraction();
     return context;
 }
 
--- a/src/node/caller-side.cc
+++ b/src/node/caller-side.cc
@@ -182,7 +182,7 @@
     {
         {
             const absl::MutexLock lock(&node_.mutex);
-            closeCall(node_.decisions, *call_, end);
+            closeCall(node_.decisions, *call_, end, absl::Now());
         }
         const absl::Duration time = absl::Now() - call_->start;
         node_.metrics.countCall({ call_->context.priority, end.outcome, end.reason }, time);
--- a/src/node/target-side.cc
+++ b/src/node/target-side.cc
@@ -30,8 +30,9 @@
     ~RunningCallGuard()
     {
         const absl::MutexLock lock(&node_.mutex);
-        closeInbound(node_.decisions, token_);
-        wakeReleased(node_.waiters, finishCall(node_.decisions.admission, id_, end_, absl::Now()));
+        const absl::Time now = absl::Now();
+        const absl::Duration elsewhere = closeInbound(node_.decisions, token_, now);
+        wakeReleased(node_.waiters, finishCall(node_.decisions.admission, id_, end_, elsewhere, now));
     }
     RunningCallGuard(const RunningCallGuard&) = delete;
     RunningCallGuard& operator=(const RunningCallGuard&) = delete;
