Admission: refuse by expected wait, serve above the fraction while nobody waits long

Cause: calls above the leaf's fraction were refused after all hops above had worked, and waiting calls were refused only after 250 ms with the slots above held. Waits now scale with the mean call; a call is refused at once when the queue before it is too long, and the level heard is smoothed over the targets.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -12,6 +12,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -36,11 +37,12 @@
     LimitOptions limit;
     ShareOptions share;
     absl::Duration window = absl::Milliseconds(100);
-    absl::Duration longestWait = absl::Milliseconds(250); ///< Then the call is refused.
+    absl::Duration shortestWaitTarget = absl::Milliseconds(10); ///< Wait kept under overload, or
+    double waitTargetTimes = 0.5; ///< this many times the mean call, whichever is longer.
+    double longestWaitTargets = 5; ///< Calls that wait this many targets are refused.
     absl::Duration unknownTime = absl::Milliseconds(5); ///< Expected time of a kind never seen.
     double longFactor = 4; ///< A kind is long when it takes this many times the mean call.
     double shortReserve = 0.25; ///< Share of the limit that long work never takes.
-    std::size_t queueFactor = 4; ///< Waiting calls allowed for each call of the limit.
 };
 
 /// How a started call ended in the target.
@@ -107,6 +109,7 @@
     absl::flat_hash_map<std::uint64_t, double> finishTags; ///< Last tag of each waiting caller.
     absl::flat_hash_map<CallId, WaitingCall> waiting;
     absl::btree_set<QueueOrder> queue;
+    std::array<std::size_t, kPriorityCount> waitingByClass {};
     absl::flat_hash_map<CallId, RunningCall> running;
 };
 
--- a/include/jackdawwall/fair-share.h
+++ b/include/jackdawwall/fair-share.h
@@ -38,7 +38,6 @@
 
 /// How far the calls wait for the target.
 struct ShareOptions {
-    absl::Duration waitTarget = absl::Milliseconds(10); ///< Kept while capacity is divided.
     int calmWindows = 10; ///< Windows without waiting before division ends.
 };
 
@@ -46,6 +45,7 @@
     absl::flat_hash_map<ShareKey, ShareDemand> demands;
     bool isDividing = false;
     double budget = std::numeric_limits<double>::infinity(); ///< Work per second.
+    double served = 0; ///< Smoothed work per second.
     int calm = 0;
 };
 
@@ -54,6 +54,7 @@
     absl::Duration length;
     double completedWork = 0; ///< Seconds of target time.
     absl::Duration wait; ///< Mean wait of the calls that started or are still waiting.
+    absl::Duration waitTarget; ///< Wait that is kept while capacity is divided.
 };
 
 /// Ranks that nodes upstream always forward, so that a target that refuses all still learns the demand and
--- a/include/jackdawwall/routing.h
+++ b/include/jackdawwall/routing.h
@@ -58,9 +58,9 @@
     }
 };
 
-/// The fraction that a path admits, as heard on answers.
+/// The fraction that a path admits, smoothed over the answers of its targets.
 struct PathLevel {
-    std::uint32_t fraction = kRankCount;
+    double fraction = kRankCount;
     absl::Time heardAt = absl::InfinitePast();
 };
 
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -57,6 +57,7 @@
 {
     const auto found = state.waiting.find(id);
     state.queue.erase(found->second.order);
+    --state.waitingByClass.at(static_cast<std::size_t>(found->second.order.priority));
     state.waiting.erase(found);
     if (state.waiting.empty())
         state.finishTags.clear();
@@ -66,12 +67,39 @@
 {
     const QueueOrder order { call.priority, isLong, nextFinishTag(state, call), call.id };
     state.queue.insert(order);
+    ++state.waitingByClass.at(static_cast<std::size_t>(order.priority));
     state.waiting.emplace(call.id, WaitingCall { call, order, now });
 }
 
-std::size_t queueLimit(const AdmissionState& state)
+absl::Duration waitTarget(const AdmissionState& state)
 {
-    return state.options.queueFactor * static_cast<std::size_t>(currentLimit(state.limit));
+    return std::max(state.options.shortestWaitTarget, absl::Seconds(state.options.waitTargetTimes * state.meanTime));
+}
+
+absl::Duration longestWait(const AdmissionState& state)
+{
+    return waitTarget(state) * state.options.longestWaitTargets;
+}
+
+/// Time until a call of this class that joined the queue now would start.
+absl::Duration expectedWait(const AdmissionState& state, Priority priority)
+{
+    std::size_t ahead = 0;
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(priority); ++index)
+        ahead += state.waitingByClass.at(index);
+    const double turns = static_cast<double>(ahead) / std::max(1, currentLimit(state.limit));
+    return absl::Seconds(turns * state.meanTime);
+}
+
+/// A call above its fraction is served all the same while nobody waits long: nodes upstream have already
+/// worked for it.
+bool isRefusedForOverload(const AdmissionState& state, const OfferedCall& call)
+{
+    const absl::Duration wait = expectedWait(state, call.priority);
+    if (wait > longestWait(state))
+        return true;
+    const bool isAboveFraction = call.rank >= admittedFraction(state, call.priority, call.caller);
+    return isAboveFraction && wait > waitTarget(state);
 }
 
 /// First waiting call that may start now; the end when there is none.
@@ -102,7 +130,7 @@
     const absl::Duration needed = absl::Seconds(expectedSeconds(state, waiting.call.cost));
     if (now + needed > waiting.call.deadline)
         return Reason::Deadline;
-    if (now - waiting.since > state.options.longestWait)
+    if (now - waiting.since > longestWait(state))
         return Reason::Overload;
     return Reason::None;
 }
@@ -144,7 +172,8 @@
 
 void endWindow(AdmissionState& state, absl::Time now)
 {
-    const ShareWindow window { now - state.windowStart, state.completedWork, meanWait(state, now) };
+    const ShareWindow window { now - state.windowStart, state.completedWork, meanWait(state, now),
+        waitTarget(state) };
     divideCapacity(state.share, state.options.share, window);
     closeWindow(state.limit, state.options.limit, now);
     reclassifyRunning(state, now);
@@ -183,7 +212,7 @@
     noteOffer(state.share, { key, call.weight, expectedSeconds(state, call.cost), call.keptFraction });
     if (now + absl::Seconds(expectedSeconds(state, call.cost)) > call.deadline)
         return { Verdict::Refuse, Reason::Deadline };
-    if (call.rank >= admittedFraction(state.share, key))
+    if (isRefusedForOverload(state, call))
         return { Verdict::Refuse, Reason::Overload };
     const bool isLong = isLongKind(state, call.cost);
     if (state.queue.empty() && hasRoom(state, isLong)) {
@@ -229,11 +258,6 @@
     if (now - state.windowStart >= state.options.window)
         endWindow(state, now);
     startWaiting(state, now, release);
-    while (state.waiting.size() > queueLimit(state)) {
-        const CallId last = state.queue.rbegin()->id;
-        removeWaiting(state, last);
-        release.refused.push_back({ last, Reason::Overload });
-    }
     return release;
 }
 
--- a/src/fair-share.cc
+++ b/src/fair-share.cc
@@ -11,6 +11,7 @@
 constexpr double kDemandWeight = 0.3;
 constexpr double kLeastDemandWeight = 0.05;
 constexpr int kEnoughArrivals = 10;
+constexpr double kServedWeight = 0.3;
 constexpr double kBudgetSwing = 0.1;
 constexpr int kForgetAfterWindows = 50;
 constexpr std::size_t kMaximumDemands = 8192;
@@ -39,12 +40,11 @@
         state.demands, [](const auto& item) { return item.second.idleWindows > kForgetAfterWindows; });
 }
 
-void moveBudget(ShareState& state, const ShareOptions& options, const ShareWindow& window)
+void moveBudget(ShareState& state, const ShareWindow& window)
 {
-    const double served = window.completedWork / absl::ToDoubleSeconds(window.length);
-    const double waitRatio = absl::FDivDuration(window.wait, options.waitTarget);
+    const double waitRatio = absl::FDivDuration(window.wait, window.waitTarget);
     const double correction = std::clamp(1 - waitRatio, -1.0, 1.0) * kBudgetSwing;
-    const double wanted = served * (1 + correction);
+    const double wanted = state.served * (1 + correction);
     if (std::isinf(state.budget) || waitRatio >= 1) {
         state.budget = wanted;
         return;
@@ -138,14 +138,16 @@
 
 void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window)
 {
-    updateDemands(state, absl::ToDoubleSeconds(window.length));
-    if (window.wait > options.waitTarget)
+    const double seconds = absl::ToDoubleSeconds(window.length);
+    updateDemands(state, seconds);
+    state.served += kServedWeight * (window.completedWork / seconds - state.served);
+    if (window.wait > window.waitTarget)
         state.isDividing = true;
     if (!state.isDividing)
         return;
-    moveBudget(state, options, window);
+    moveBudget(state, window);
     divideAll(state);
-    const bool isCalm = isEveryoneAdmitted(state) && window.wait < options.waitTarget;
+    const bool isCalm = isEveryoneAdmitted(state) && window.wait < window.waitTarget;
     state.calm = isCalm ? state.calm + 1 : 0;
     if (state.calm >= options.calmWindows)
         admitAll(state);
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kLatencyWeight = 0.2;
+constexpr double kLevelWeight = 0.25;
 constexpr double kPriorLatency = 0.001;
 constexpr std::size_t kMaximumLevels = 16384;
 
@@ -124,13 +125,14 @@
 
 void notePathLevel(RoutingState& state, const PathKey& key, std::uint32_t fraction, absl::Time now)
 {
-    if (fraction >= kRankCount) {
-        state.levels.erase(key);
-        return;
-    }
-    if (state.levels.size() >= kMaximumLevels && !state.levels.contains(key))
+    const bool isKnown = state.levels.contains(key);
+    if (!isKnown && (fraction >= kRankCount || state.levels.size() >= kMaximumLevels))
         return;
-    state.levels[key] = PathLevel { fraction, now };
+    PathLevel& level = state.levels[key];
+    level.fraction += kLevelWeight * (fraction - level.fraction);
+    level.heardAt = now;
+    if (level.fraction >= kRankCount - 1)
+        state.levels.erase(key);
 }
 
 std::uint32_t pathLevel(const RoutingState& state, const PathKey& key, absl::Time now)
@@ -138,7 +140,7 @@
     const auto found = state.levels.find(key);
     if (found == state.levels.end())
         return kRankCount;
-    std::uint32_t fraction = forwardedFraction(found->second.fraction);
+    std::uint32_t fraction = forwardedFraction(static_cast<std::uint32_t>(found->second.fraction));
     absl::Duration silence = now - found->second.heardAt - state.options.levelHold;
     while (silence > absl::ZeroDuration() && fraction < kRankCount) {
         fraction = raisedFraction(fraction);
