--- a/bench/reach-jackdaw.cc
+++ b/bench/reach-jackdaw.cc
@@ -149,6 +149,9 @@
             *fleet_.model.trace << "t=" << absl::ToUnixMillis(now()) % 1000000 << " service=" << node->service
                                 << " limit=" << currentLimit(admission.limit)
                                 << " inflight=" << inFlight(admission) << " waiting=" << admission.waiting.size()
+                                << " dip=" << admission.limit.isDipping
+                                << " samples=" << admission.limit.window.samples << " slow="
+                                << admission.limit.window.timeSum / admission.limit.window.baseSum
                                 << " budget=" << admission.share.budget;
             for (const auto& [key, demand] : admission.share.demands)
                 *fleet_.model.trace << " " << toText(key.priority) << "=" << demand.fraction << "/"
--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -97,6 +97,24 @@
     return all == absl::ZeroDuration() ? 0 : absl::FDivDuration(wasted, all);
 }
 
+/// Whole requests for each request that used slot time and failed, and what each of both used on average.
+void printWaste(const Run& run, const Selection& selection)
+{
+    double whole = 0;
+    double failed = 0;
+    absl::Duration wholeTime;
+    absl::Duration failedTime;
+    for (const RootRecord& root : run.fleet->roots()) {
+        if (!isSelected(root, selection) || root.slotTime == absl::ZeroDuration())
+            continue;
+        (root.isWhole ? whole : failed) += 1;
+        (root.isWhole ? wholeTime : failedTime) += root.slotTime;
+    }
+    run.print("failed-after-work", failed / std::max(1.0, whole), "per-whole");
+    run.print("slot-time-whole", absl::ToDoubleMilliseconds(wholeTime) / std::max(1.0, whole), "ms");
+    run.print("slot-time-failed", absl::ToDoubleMilliseconds(failedTime) / std::max(1.0, failed), "ms");
+}
+
 /// Largest number of sends beyond one for each service of the chain, in one try of a client.
 int mostExtraAttempts(const Fleet& fleet)
 {
@@ -173,6 +191,7 @@
     run.print("goodput", wholePerSecond(fleet, surge) / capacity, "share-of-capacity");
     run.print("top-class", wholeShare(fleet, { surge.from, surge.to, 0 }), "share-whole");
     run.print("wasted", wastedShare(fleet, surge), "share-of-slot-time");
+    printWaste(run, surge);
     run.print("extra-attempts", mostExtraAttempts(fleet) - depth, "sends");
     run.print("recovery", recoverySeconds(fleet, surge.to, surge.to + kAfter), "s");
 }
--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -100,7 +100,6 @@
     ShareState share;
     bool isDraining = false;
     absl::Time windowStart = absl::InfinitePast();
-    double completedWork = 0; ///< Seconds of target time, this window.
     absl::Duration waitSum; ///< Of calls started this window.
     int startedCount = 0;
     double meanTime = 0; ///< Seconds, over all calls.
--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -29,7 +29,7 @@
 /// Times of one work kind in the target, in seconds.
 struct KindCost {
     double base = 0; ///< Mean own time without queueing; 0 until the first sample.
-    double mean = 0; ///< Recent mean of the whole time.
+    double usual = 0; ///< Whole time, freed of the target's momentary slowness.
     double count = 0; ///< Samples behind base, capped.
 };
 
@@ -49,6 +49,8 @@
     bool isDipping = false; ///< Lowered for a moment, so that some calls show the time without queueing.
     int dipStarts = 0; ///< Calls started in this dip.
     double meanTime = 0; ///< Seconds, over all kinds.
+    double slowness = 1; ///< Recent times over usual times, over all kinds: a kind that is refused for a
+                         ///< while is still judged by what the target does now.
     bool hasSeenQueueing = false; ///< Ends the doubling of a cold start.
     absl::Time nextDip = absl::InfinitePast();
     LimitWindow window;
@@ -78,9 +80,15 @@
 /// Judges the window and moves the limit; call it every 100 ms.
 void closeWindow(LimitState& state, const LimitOptions& options, absl::Time now);
 
+/// True when the calls in the target came near the limit since the last judgement.
+bool isLimitReached(const LimitState& state);
+
 /// Calls that may be in the target at once.
 int currentLimit(const LimitState& state);
 
+/// The limit apart from a dip.
+double steadyLimit(const LimitState& state);
+
 /// Expected time of a call in the target; `fallback` until one was seen.
 absl::Duration expectedTime(const LimitState& state, CostKey key, absl::Duration fallback);
 
--- a/include/jackdawwall/fair-share.h
+++ b/include/jackdawwall/fair-share.h
@@ -45,14 +45,14 @@
     absl::flat_hash_map<ShareKey, ShareDemand> demands;
     bool isDividing = false;
     double budget = std::numeric_limits<double>::infinity(); ///< Work per second.
-    double served = 0; ///< Smoothed work per second.
+    double fill = 1; ///< Budget over capacity; moves with the wait.
     int calm = 0;
 };
 
-/// What the target did in a window.
+/// State of the target at the end of a window.
 struct ShareWindow {
     absl::Duration length;
-    double completedWork = 0; ///< Seconds of target time.
+    double capacity = 0; ///< Work per second: by Little's law, the calls that may be in the target.
     absl::Duration wait; ///< Mean wait of the calls that started or are still waiting.
     absl::Duration waitTarget; ///< Wait that is kept while capacity is divided.
 };
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -172,13 +172,12 @@
 
 void endWindow(AdmissionState& state, absl::Time now)
 {
-    const ShareWindow window { now - state.windowStart, state.completedWork, meanWait(state, now),
+    const ShareWindow window { now - state.windowStart, steadyLimit(state.limit), meanWait(state, now),
         waitTarget(state) };
     divideCapacity(state.share, state.options.share, window);
     closeWindow(state.limit, state.options.limit, now);
     reclassifyRunning(state, now);
     state.windowStart = now;
-    state.completedWork = 0;
     state.waitSum = absl::ZeroDuration();
     state.startedCount = 0;
 }
@@ -189,7 +188,6 @@
     const absl::Duration time = now - running.since;
     const RunTime runTime { time, std::max(absl::ZeroDuration(), time - elsewhere) };
     noteRun(state.limit, state.options.limit, running.cost, runTime, running.inFlightAtStart);
-    state.completedWork += expectedSeconds(state, running.cost);
     const double seconds = absl::ToDoubleSeconds(time);
     state.meanTime = state.meanTime == 0 ? seconds : state.meanTime + kMeanWeight * (seconds - state.meanTime);
 }
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -77,14 +77,20 @@
         || end.reason == Reason::Leaving || end.reason == Reason::TargetShed;
 }
 
+/// The fraction travels back with the answer to the call that this one serves.
+void tellParent(NodeDecisions& decisions, const OutboundCall& call, std::uint32_t fraction)
+{
+    const auto parent = decisions.inbound.find(call.parent);
+    if (parent != decisions.inbound.end())
+        parent->second.pathFraction = std::min(parent->second.pathFraction, fraction);
+}
+
 void learnFeedback(NodeDecisions& decisions, OutboundCall& call, const Sending& sending,
     const CallFeedback& feedback, absl::Time now)
 {
     returnAllowance(call.allowance, sending.lent, feedback.unspent);
     notePathLevel(decisions.routing, call.path, feedback.admitFraction, now);
-    const auto parent = decisions.inbound.find(call.parent);
-    if (parent != decisions.inbound.end())
-        parent->second.pathFraction = std::min(parent->second.pathFraction, feedback.admitFraction);
+    tellParent(decisions, call, feedback.admitFraction);
 }
 
 std::optional<Sending> sendTo(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
@@ -157,8 +163,10 @@
     if (!takeCall(decisions.callerLimits, call.path.caller, call.callsPerSecond, now))
         return Reason::CallerLimit;
     const std::uint32_t level = pathLevel(decisions.routing, call.path, now);
-    if (call.context.rank >= level)
+    if (call.context.rank >= level) {
+        tellParent(decisions, call, level);
         return Reason::Overload;
+    }
     call.context.keptFraction = std::min(call.context.keptFraction, level);
     noteFirstAttempt(decisions.retries, {});
     return Reason::None;
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -10,9 +10,13 @@
 constexpr double kFirstSamples = 32;
 constexpr double kNoiseWidth = 1.5;
 constexpr double kMeanWeight = 0.1;
+constexpr double kSlownessWeight = 0.05;
+constexpr double kMostSlowness = 100;
+constexpr double kUsualWeight = 0.02;
 constexpr double kDipShare = 0.45;
 constexpr double kDipStartShare = 0.3;
 constexpr int kFewestDipStarts = 8;
+constexpr double kReachedShare = 0.9;
 constexpr double kGrowth = 1.1;
 constexpr double kColdGrowth = 2.0;
 constexpr double kStrongestDecrease = 0.7;
@@ -28,13 +32,15 @@
     cost.base += (seconds - cost.base) / cost.count;
 }
 
-void learnMean(KindCost& cost, double seconds)
+void learnUsual(LimitState& state, KindCost& cost, double seconds)
 {
-    cost.mean = cost.mean == 0 ? seconds : cost.mean + kMeanWeight * (seconds - cost.mean);
+    if (cost.usual == 0)
+        cost.usual = seconds / state.slowness;
+    state.slowness += kSlownessWeight * (std::min(kMostSlowness, seconds / cost.usual) - state.slowness);
+    cost.usual += kUsualWeight * (seconds / state.slowness - cost.usual);
+    state.meanTime += kMeanWeight * (seconds - state.meanTime);
 }
 
-bool isBinding(const LimitState& state) { return state.window.peakInFlight >= 0.9 * state.limit; }
-
 void grow(LimitState& state, const LimitOptions& options)
 {
     const double factor = state.hasSeenQueueing ? kGrowth : kColdGrowth;
@@ -141,11 +147,10 @@
         state.costs.clear();
     KindCost& cost = state.costs[key];
     const double seconds = absl::ToDoubleSeconds(time.own);
-    const double limit = state.isDipping ? state.ceiling : state.limit;
+    const double limit = steadyLimit(state);
     if (cost.count < kFirstSamples || inFlightAtStart <= options.quietShare * limit)
         learnBase(cost, seconds);
-    learnMean(cost, absl::ToDoubleSeconds(time.whole));
-    state.meanTime += kMeanWeight * (absl::ToDoubleSeconds(time.whole) - state.meanTime);
+    learnUsual(state, cost, absl::ToDoubleSeconds(time.whole));
     if (inFlightAtStart < options.fullShare * limit - 1)
         return;
     state.window.timeSum += seconds;
@@ -159,7 +164,7 @@
 {
     if (state.isDipping)
         return;
-    const bool wasBinding = isBinding(state);
+    const bool wasBinding = isLimitReached(state);
     if (hasRefusedMuch(state.window)) {
         state.hasSeenQueueing = true;
         shrink(state, options, kRefusalDecrease);
@@ -175,12 +180,19 @@
         maybeDip(state, options, now);
 }
 
+bool isLimitReached(const LimitState& state)
+{
+    return state.window.peakInFlight >= kReachedShare * std::floor(state.limit);
+}
+
 int currentLimit(const LimitState& state) { return static_cast<int>(state.limit); }
 
+double steadyLimit(const LimitState& state) { return state.isDipping ? state.ceiling : state.limit; }
+
 absl::Duration expectedTime(const LimitState& state, CostKey key, absl::Duration fallback)
 {
     const auto found = state.costs.find(key);
-    return found == state.costs.end() ? fallback : absl::Seconds(found->second.mean);
+    return found == state.costs.end() ? fallback : absl::Seconds(found->second.usual * state.slowness);
 }
 
 } // namespace jackdawwall
--- a/src/fair-share.cc
+++ b/src/fair-share.cc
@@ -11,8 +11,9 @@
 constexpr double kDemandWeight = 0.3;
 constexpr double kLeastDemandWeight = 0.05;
 constexpr int kEnoughArrivals = 10;
-constexpr double kServedWeight = 0.3;
-constexpr double kBudgetSwing = 0.1;
+constexpr double kFillStep = 0.1;
+constexpr double kLeastFill = 0.5;
+constexpr double kMostFill = 1.3;
 constexpr int kForgetAfterWindows = 50;
 constexpr std::size_t kMaximumDemands = 8192;
 constexpr std::uint32_t kSmallestRise = 8;
@@ -43,13 +44,9 @@
 void moveBudget(ShareState& state, const ShareWindow& window)
 {
     const double waitRatio = absl::FDivDuration(window.wait, window.waitTarget);
-    const double correction = std::clamp(1 - waitRatio, -1.0, 1.0) * kBudgetSwing;
-    const double wanted = state.served * (1 + correction);
-    if (std::isinf(state.budget) || waitRatio >= 1) {
-        state.budget = wanted;
-        return;
-    }
-    state.budget = std::max(wanted, state.budget * (1 + correction));
+    const double correction = std::clamp(1 - waitRatio, -1.0, 1.0) * kFillStep;
+    state.fill = std::clamp(state.fill * (1 + correction), kLeastFill, kMostFill);
+    state.budget = state.fill * window.capacity;
 }
 
 /// Largest amount of work per unit of weight such that the callers' demands capped at it fit the budget.
@@ -107,6 +104,7 @@
 {
     state.isDividing = false;
     state.budget = std::numeric_limits<double>::infinity();
+    state.fill = 1;
     for (auto& [key, demand] : state.demands)
         demand.fraction = kRankCount;
 }
@@ -138,9 +136,7 @@
 
 void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window)
 {
-    const double seconds = absl::ToDoubleSeconds(window.length);
-    updateDemands(state, seconds);
-    state.served += kServedWeight * (window.completedWork / seconds - state.served);
+    updateDemands(state, absl::ToDoubleSeconds(window.length));
     if (window.wait > window.waitTarget)
         state.isDividing = true;
     if (!state.isDividing)
