Demand and capacity in usual work; short work keeps the slots that it needs

Cause: after a slow spell the demand was still counted at the slow cost, and a kind that was refused could not correct its own cost, so the target stood idle for 2 s. Costs are now kept apart from the target's momentary slowness, which any completed call corrects; the capacity is the limit over the slowness (Little's law). While the limit is not reached the budget opens faster. Uploads are kept to what short work leaves, by its measured demand (DARC's idea, Persephone, SOSP 2021), not to a fixed quarter.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -42,7 +42,8 @@
     double longestWaitTargets = 5; ///< Calls that wait this many targets are refused.
     absl::Duration unknownTime = absl::Milliseconds(5); ///< Expected time of a kind never seen.
     double longFactor = 4; ///< A kind is long when it takes this many times the mean call.
-    double shortReserve = 0.25; ///< Share of the limit that long work never takes.
+    double leastReserve = 0.25; ///< Share of the limit that long work never takes.
+    double mostReserve = 0.9; ///< Share that is kept for short work at most.
 };
 
 /// How a started call ended in the target.
@@ -105,6 +106,8 @@
     double meanTime = 0; ///< Seconds, over all calls.
     double virtualTime = 0;
     int longInFlight = 0;
+    double shortOffered = 0; ///< Usual work of short kinds, this window.
+    double shortDemand = 0; ///< The same per second, smoothed: the calls of it that are in the target at once.
     absl::flat_hash_map<std::uint64_t, double> finishTags; ///< Last tag of each waiting caller.
     absl::flat_hash_map<CallId, WaitingCall> waiting;
     absl::btree_set<QueueOrder> queue;
--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -89,6 +89,9 @@
 /// The limit apart from a dip.
 double steadyLimit(const LimitState& state);
 
+/// Time of a call in the target's usual state, in seconds; `fallback` until one was seen.
+double usualSeconds(const LimitState& state, CostKey key, double fallback);
+
 /// Expected time of a call in the target; `fallback` until one was seen.
 absl::Duration expectedTime(const LimitState& state, CostKey key, absl::Duration fallback);
 
--- a/include/jackdawwall/fair-share.h
+++ b/include/jackdawwall/fair-share.h
@@ -26,7 +26,7 @@
     }
 };
 
-/// Offered work of one key; work is in seconds of target time.
+/// Offered work of one key; work is in seconds of target time in its usual state.
 struct ShareDemand {
     double weight = 1;
     double offered = 0; ///< This window, with what nodes upstream refused.
@@ -52,7 +52,9 @@
 /// State of the target at the end of a window.
 struct ShareWindow {
     absl::Duration length;
-    double capacity = 0; ///< Work per second: by Little's law, the calls that may be in the target.
+    double capacity = 0; ///< Usual work per second: by Little's law, the calls that may be in the target over
+                         ///< its slowness.
+    bool isIdle = false; ///< The limit was not reached: there is room.
     absl::Duration wait; ///< Mean wait of the calls that started or are still waiting.
     absl::Duration waitTarget; ///< Wait that is kept while capacity is divided.
 };
@@ -71,7 +73,7 @@
 struct ShareOffer {
     ShareKey key;
     double weight = 1;
-    double work = 0; ///< Seconds of target time.
+    double work = 0; ///< Seconds of target time in its usual state.
     std::uint32_t keptFraction = kRankCount; ///< Ranks below this came through all nodes upstream.
 };
 
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -3,11 +3,14 @@
 #include "absl/strings/string_view.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jackdawwall {
 namespace {
 
 constexpr double kMeanWeight = 0.02;
+constexpr double kDemandWeight = 0.3;
+constexpr double kReserveDeviations = 3;
 constexpr std::uint64_t kSmallBodyBytes = 64ULL << 10;
 constexpr std::uint64_t kMediumBodyBytes = 1ULL << 20;
 
@@ -23,11 +26,15 @@
     return expectedSeconds(state, cost) > state.options.longFactor * state.meanTime;
 }
 
+/// Keeps what short work needs at once with its variation (as DARC does by type; Persephone, SOSP 2021).
 int longLimit(const AdmissionState& state)
 {
-    const int limit = currentLimit(state.limit);
-    const int reserve = static_cast<int>(state.options.shortReserve * limit);
-    return std::max(1, limit - std::max(1, reserve));
+    const double limit = currentLimit(state.limit);
+    const double needed = state.shortDemand * state.limit.slowness;
+    const double wanted = needed + kReserveDeviations * std::sqrt(needed);
+    const double reserve
+        = std::clamp(wanted, state.options.leastReserve * limit, state.options.mostReserve * limit);
+    return std::max(1, static_cast<int>(limit - std::max(1.0, reserve)));
 }
 
 bool hasRoom(const AdmissionState& state, bool isLong)
@@ -172,8 +179,13 @@
 
 void endWindow(AdmissionState& state, absl::Time now)
 {
-    const ShareWindow window { now - state.windowStart, steadyLimit(state.limit), meanWait(state, now),
+    const absl::Duration length = now - state.windowStart;
+    const double capacity = steadyLimit(state.limit) / state.limit.slowness;
+    const ShareWindow window { length, capacity, !isLimitReached(state.limit), meanWait(state, now),
         waitTarget(state) };
+    const double shortRate = state.shortOffered / absl::ToDoubleSeconds(length);
+    state.shortDemand += kDemandWeight * (shortRate - state.shortDemand);
+    state.shortOffered = 0;
     divideCapacity(state.share, state.options.share, window);
     closeWindow(state.limit, state.options.limit, now);
     reclassifyRunning(state, now);
@@ -182,6 +194,19 @@
     state.startedCount = 0;
 }
 
+double usualWork(const AdmissionState& state, CostKey cost)
+{
+    return usualSeconds(state.limit, cost, absl::ToDoubleSeconds(state.options.unknownTime));
+}
+
+void noteDemand(AdmissionState& state, const OfferedCall& call)
+{
+    const double work = usualWork(state, call.cost);
+    noteOffer(state.share, { { call.priority, call.caller }, call.weight, work, call.keptFraction });
+    if (!isLongKind(state, call.cost))
+        state.shortOffered += work;
+}
+
 void noteCompleted(
     AdmissionState& state, const RunningCall& running, absl::Duration elsewhere, absl::Time now)
 {
@@ -206,8 +231,7 @@
 {
     if (state.isDraining)
         return { Verdict::Refuse, Reason::Leaving };
-    const ShareKey key { call.priority, call.caller };
-    noteOffer(state.share, { key, call.weight, expectedSeconds(state, call.cost), call.keptFraction });
+    noteDemand(state, call);
     if (now + absl::Seconds(expectedSeconds(state, call.cost)) > call.deadline)
         return { Verdict::Refuse, Reason::Deadline };
     if (isRefusedForOverload(state, call))
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -189,10 +189,15 @@
 
 double steadyLimit(const LimitState& state) { return state.isDipping ? state.ceiling : state.limit; }
 
-absl::Duration expectedTime(const LimitState& state, CostKey key, absl::Duration fallback)
+double usualSeconds(const LimitState& state, CostKey key, double fallback)
 {
     const auto found = state.costs.find(key);
-    return found == state.costs.end() ? fallback : absl::Seconds(found->second.usual * state.slowness);
+    return found == state.costs.end() ? fallback : found->second.usual;
+}
+
+absl::Duration expectedTime(const LimitState& state, CostKey key, absl::Duration fallback)
+{
+    return absl::Seconds(usualSeconds(state, key, absl::ToDoubleSeconds(fallback)) * state.slowness);
 }
 
 } // namespace jackdawwall
--- a/src/fair-share.cc
+++ b/src/fair-share.cc
@@ -14,6 +14,8 @@
 constexpr double kFillStep = 0.1;
 constexpr double kLeastFill = 0.5;
 constexpr double kMostFill = 1.3;
+constexpr double kIdleFillStep = 0.25;
+constexpr double kMostIdleFill = 4;
 constexpr int kForgetAfterWindows = 50;
 constexpr std::size_t kMaximumDemands = 8192;
 constexpr std::uint32_t kSmallestRise = 8;
@@ -44,8 +46,10 @@
 void moveBudget(ShareState& state, const ShareWindow& window)
 {
     const double waitRatio = absl::FDivDuration(window.wait, window.waitTarget);
-    const double correction = std::clamp(1 - waitRatio, -1.0, 1.0) * kFillStep;
-    state.fill = std::clamp(state.fill * (1 + correction), kLeastFill, kMostFill);
+    const double most = window.isIdle ? kMostIdleFill : kMostFill;
+    const double step = window.isIdle || state.fill > kMostFill ? kIdleFillStep : kFillStep;
+    const double correction = std::clamp(1 - waitRatio, -1.0, 1.0) * step;
+    state.fill = std::clamp(state.fill * (1 + correction), kLeastFill, std::max(most, state.fill));
     state.budget = state.fill * window.capacity;
 }
 
