--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -151,7 +151,8 @@
     if (cost.count < kFirstSamples || inFlightAtStart <= options.quietShare * limit)
         learnBase(cost, seconds);
     learnUsual(state, cost, absl::ToDoubleSeconds(time.whole));
-    if (inFlightAtStart < options.fullShare * limit - 1)
+    // The call itself comes on top of those in flight at its start.
+    if (inFlightAtStart + 1 < options.fullShare * std::floor(limit))
         return;
     state.window.timeSum += seconds;
     state.window.baseSum += cost.base;
--- /dev/null
+++ b/test/concurrency-limit-test.cc
@@ -0,0 +1,185 @@
+#include "jackdawwall/concurrency-limit.h"
+
+#include "test/table.h"
+
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace jackdawwall {
+namespace {
+
+/// A target with slots and a queue in order of arrival, kept full up to the limit.
+class SaturatedTarget {
+public:
+    SaturatedTarget(int slotCount, absl::Duration work, std::uint64_t seed)
+        : slots(slotCount)
+        , generator_(seed)
+        , work_(work)
+        , state_(makeLimitState(options_))
+    {
+    }
+
+    void runFor(absl::Duration length)
+    {
+        const absl::Time end = now_ + length;
+        while (now_ < end) {
+            fill();
+            const Ending ending = endings_.top();
+            endings_.pop();
+            advanceTo(ending.at);
+            finish(ending);
+        }
+    }
+
+    double limit() const { return steadyLimit(state_); }
+    LimitState& state() { return state_; }
+
+    int slots;
+    double slowness = 1;
+
+private:
+    struct Call {
+        absl::Time since;
+        int inFlightAtStart = 0;
+    };
+    struct Ending {
+        absl::Time at;
+        Call call;
+
+        bool operator<(const Ending& other) const { return at > other.at; }
+    };
+
+    void fill()
+    {
+        while (inFlight_ < currentLimit(state_)) {
+            queue_.push({ now_, inFlight_ });
+            noteStart(state_, ++inFlight_);
+        }
+        startQueued();
+    }
+
+    void startQueued()
+    {
+        std::exponential_distribution<double> draw(1 / absl::ToDoubleSeconds(work_));
+        while (running_ < slots && !queue_.empty()) {
+            endings_.push({ now_ + absl::Seconds(draw(generator_) * slowness), queue_.front() });
+            queue_.pop();
+            ++running_;
+        }
+    }
+
+    void advanceTo(absl::Time time)
+    {
+        now_ = time;
+        while (now_ >= nextWindow_) {
+            closeWindow(state_, options_, nextWindow_);
+            nextWindow_ += absl::Milliseconds(100);
+        }
+    }
+
+    void finish(const Ending& ending)
+    {
+        --running_;
+        --inFlight_;
+        const absl::Duration time = now_ - ending.call.since;
+        noteRun(state_, options_, 1, { time, time }, ending.call.inFlightAtStart);
+    }
+
+    std::mt19937_64 generator_;
+    absl::Duration work_;
+    LimitOptions options_;
+    LimitState state_;
+    absl::Time now_ = absl::FromUnixSeconds(1000);
+    absl::Time nextWindow_ = now_ + absl::Milliseconds(100);
+    std::priority_queue<Ending> endings_;
+    std::queue<Call> queue_;
+    int running_ = 0;
+    int inFlight_ = 0;
+};
+
+struct SlotsRow {
+    const char* name;
+    int slots;
+    absl::Duration work;
+};
+
+const std::vector<SlotsRow> kBriefTargets {
+    { "ledger", 10, absl::Milliseconds(20) },
+    { "due-board", 25, absl::Milliseconds(10) },
+    { "swatch", 35, absl::Milliseconds(10) },
+    { "hist-desk", 100, absl::Milliseconds(5) },
+};
+
+BOOST_AUTO_TEST_CASE(findsTheSlotsOfTheBriefsTargetsWithoutBeingTold)
+{
+    test::forEachRow(kBriefTargets, [](const SlotsRow& row) {
+        SaturatedTarget target(row.slots, row.work, 1);
+        target.runFor(absl::Seconds(20));
+        double sum = 0;
+        constexpr int kLooks = 100;
+        for (int look = 0; look < kLooks; ++look) {
+            target.runFor(absl::Milliseconds(200));
+            sum += target.limit();
+        }
+        // All slots busy, and on average at most as much waiting inside the target.
+        BOOST_TEST(sum / kLooks >= 0.9 * row.slots);
+        BOOST_TEST(sum / kLooks <= 2.0 * row.slots);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(ownQueueingNeverBecomesTheBase)
+{
+    // Ten minutes at full load: a base that drifts with the limit would let it run away.
+    SaturatedTarget target(35, absl::Milliseconds(10), 2);
+    target.runFor(absl::Minutes(10));
+    BOOST_TEST(target.limit() <= 3 * 35);
+}
+
+BOOST_AUTO_TEST_CASE(followsSlotsThatMove)
+{
+    SaturatedTarget target(40, absl::Milliseconds(10), 3);
+    target.runFor(absl::Seconds(10));
+    target.slots = 10;
+    target.runFor(absl::Seconds(60));
+    BOOST_TEST(target.limit() <= 30);
+    target.slots = 80;
+    target.runFor(absl::Seconds(30));
+    BOOST_TEST(target.limit() >= 60);
+}
+
+BOOST_AUTO_TEST_CASE(comesBackAfterANeighboursNoise)
+{
+    SaturatedTarget target(35, absl::Milliseconds(10), 4);
+    target.runFor(absl::Seconds(10));
+    target.slowness = 20;
+    target.runFor(absl::Seconds(5));
+    target.slowness = 1;
+    target.runFor(absl::Seconds(5));
+    BOOST_TEST(target.limit() >= 0.7 * 35);
+}
+
+BOOST_AUTO_TEST_CASE(refusalsOfTheTargetLowerTheLimit)
+{
+    LimitState state = makeLimitState({});
+    state.limit = 50;
+    noteStart(state, 50);
+    for (int refusal = 0; refusal < 10; ++refusal)
+        noteTargetRefusal(state);
+    closeWindow(state, {}, absl::FromUnixSeconds(1));
+    BOOST_TEST(state.limit < 50);
+}
+
+BOOST_AUTO_TEST_CASE(aQuietWindowDoesNotMoveTheLimit)
+{
+    LimitState state = makeLimitState({});
+    noteStart(state, 1);
+    for (int run = 0; run < 200; ++run)
+        noteRun(state, {}, 1, { absl::Milliseconds(run < 100 ? 1 : 50), absl::Milliseconds(50) }, 0);
+    const double before = state.limit;
+    closeWindow(state, {}, absl::FromUnixSeconds(1));
+    BOOST_TEST(state.limit == before);
+}
+
+} // namespace
+} // namespace jackdawwall
--- /dev/null
+++ b/test/membership-test.cc
@@ -0,0 +1,164 @@
+#include "jackdawwall/membership.h"
+
+#include "absl/strings/str_cat.h"
+#include "test/table.h"
+
+#include <deque>
+#include <vector>
+
+namespace jackdawwall {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+Member member(const std::string& address, std::uint64_t incarnation, MemberStatus status)
+{
+    Member result;
+    result.peerAddress = address;
+    result.incarnation = incarnation;
+    result.status = status;
+    result.service = "ledger";
+    return result;
+}
+
+MembershipState stateOf(const std::string& self)
+{
+    return makeMembership(member(self, 1, MemberStatus::Alive), {}, kStart);
+}
+
+struct MergeRow {
+    const char* name;
+    Member held;
+    Member told;
+    bool changes;
+};
+
+BOOST_AUTO_TEST_CASE(newsWinsByIncarnationThenByStatus)
+{
+    using enum MemberStatus;
+    const std::vector<MergeRow> table {
+        { "suspicion", member("b", 1, Alive), member("b", 1, Suspect), true },
+        { "refuted suspicion", member("b", 1, Suspect), member("b", 2, Alive), true },
+        { "old suspicion", member("b", 2, Alive), member("b", 1, Suspect), false },
+        { "death", member("b", 1, Suspect), member("b", 1, Dead), true },
+        { "the dead don't return by old news", member("b", 1, Dead), member("b", 1, Alive), false },
+        { "restart after death", member("b", 1, Dead), member("b", 2, Alive), true },
+        { "rumour of the death of an earlier life", member("b", 2, Alive), member("b", 1, Dead), false },
+        { "leave", member("b", 1, Alive), member("b", 1, Leaving), true },
+        { "suspicion does not hide a leave", member("b", 1, Leaving), member("b", 1, Suspect), false },
+        { "restart after a leave", member("b", 1, Leaving), member("b", 2, Alive), true },
+        { "same news again", member("b", 1, Alive), member("b", 1, Alive), false },
+    };
+    test::forEachRow(table, [](const MergeRow& row) {
+        MembershipState state = stateOf("a");
+        mergeMembers(state, { row.held }, kStart);
+        BOOST_TEST(mergeMembers(state, { row.told }, kStart).size() == (row.changes ? 1U : 0U));
+        const Member& result = state.members.at("b").member;
+        BOOST_TEST((result == (row.changes ? row.told : row.held)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aNodeRefutesNewsOfItsOwnEnd)
+{
+    for (const MemberStatus status : { MemberStatus::Suspect, MemberStatus::Leaving, MemberStatus::Dead }) {
+        MembershipState state = stateOf("a");
+        mergeMembers(state, { member("a", 7, status) }, kStart);
+        const Member& self = state.members.at("a").member;
+        BOOST_TEST((self.status == MemberStatus::Alive));
+        BOOST_TEST(self.incarnation == 8U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aSilentNeighbourIsSuspectedThenDead)
+{
+    MembershipState state = stateOf("a");
+    mergeMembers(state, { member("b", 1, MemberStatus::Alive) }, kStart);
+    BOOST_TEST(!noteMissedHeartbeat(state, "b", kStart));
+    BOOST_TEST(noteMissedHeartbeat(state, "b", kStart));
+    BOOST_TEST(advanceMembership(state, kStart + absl::Seconds(1)).empty());
+    BOOST_TEST(advanceMembership(state, kStart + absl::Seconds(2)).size() == 1U);
+    BOOST_TEST((state.members.at("b").member.status == MemberStatus::Dead));
+}
+
+BOOST_AUTO_TEST_CASE(aPartitionRemovesNobody)
+{
+    MembershipState state = stateOf("a");
+    for (int index = 0; index < 20; ++index)
+        mergeMembers(state, { member(absl::StrCat("b", index), 1, MemberStatus::Alive) }, kStart);
+    for (int index = 0; index < 10; ++index) {
+        const std::string address = absl::StrCat("b", index);
+        noteMissedHeartbeat(state, address, kStart);
+        noteMissedHeartbeat(state, address, kStart);
+    }
+    BOOST_TEST(advanceMembership(state, kStart + absl::Hours(1)).empty());
+    BOOST_TEST(routableMembers(state, "ledger").size() == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(suspectsGetWorkOnlyWhenNobodyElseIsLeft)
+{
+    MembershipState state = stateOf("a");
+    mergeMembers(state, { member("b", 1, MemberStatus::Suspect), member("c", 1, MemberStatus::Leaving) }, kStart);
+    BOOST_TEST(routableMembers(state, "ledger").size() == 1U);
+    announceLeave(state, kStart);
+    BOOST_REQUIRE_EQUAL(routableMembers(state, "ledger").size(), 1U);
+    BOOST_TEST(routableMembers(state, "ledger").front().peerAddress == "b");
+}
+
+/// Rounds in which every node tells its neighbours, until all views agree.
+int roundsUntilAgreed(std::vector<MembershipState>& states, int mostRounds)
+{
+    for (int round = 1; round <= mostRounds; ++round) {
+        for (MembershipState& sender : states) {
+            for (const Member& receiver : chooseNeighbours(sender, 2)) {
+                std::uint64_t upTo = 0;
+                const std::vector<Member> news = newsFor(sender, receiver.peerAddress, 1000, upTo);
+                for (MembershipState& state : states) {
+                    if (state.self == receiver.peerAddress)
+                        mergeMembers(state, news, kStart);
+                }
+                noteHeartbeat(sender, receiver.peerAddress, upTo, kStart);
+            }
+        }
+        const std::uint64_t digest = memberDigest(states.front());
+        bool isAgreed = true;
+        for (const MembershipState& state : states)
+            isAgreed = isAgreed && memberDigest(state) == digest;
+        if (isAgreed)
+            return round;
+    }
+    return mostRounds + 1;
+}
+
+BOOST_AUTO_TEST_CASE(newsReachesEveryNodeInAFewRounds)
+{
+    constexpr int kNodes = 64;
+    std::vector<MembershipState> states;
+    std::vector<Member> all;
+    for (int index = 0; index < kNodes; ++index)
+        all.push_back(member(absl::StrCat("10.0.0.", index, ":80"), 1, MemberStatus::Alive));
+    for (const Member& self : all) {
+        states.push_back(makeMembership(self, {}, kStart));
+        mergeMembers(states.back(), all, kStart);
+    }
+    BOOST_TEST(roundsUntilAgreed(states, 10) <= 10);
+    announceLeave(states[17], kStart);
+    BOOST_TEST(roundsUntilAgreed(states, 7) <= 7);
+    BOOST_TEST((states[0].members.at(all[17].peerAddress).member.status == MemberStatus::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(newsIsCutAndGoesOnWhereItWasCut)
+{
+    MembershipState state = stateOf("a");
+    for (int index = 0; index < 9; ++index)
+        mergeMembers(state, { member(absl::StrCat("b", index), 1, MemberStatus::Alive) }, kStart);
+    std::size_t told = 0;
+    for (int message = 0; message < 3; ++message) {
+        std::uint64_t upTo = 0;
+        told += newsFor(state, "b0", 4, upTo).size();
+        noteHeartbeat(state, "b0", upTo, kStart);
+    }
+    BOOST_TEST(told == 10U);
+}
+
+} // namespace
+} // namespace jackdawwall
