--- a/bench/bench-main.cc
+++ b/bench/bench-main.cc
@@ -17,7 +17,8 @@
         TCLAP::ValueArg<int> seeds("n", "seeds", "Seeds 1 to N", false, 3, "N", line);
         TCLAP::SwitchArg trace("t", "trace", "Prints the nodes' states as well", line);
         line.parse(argc, argv);
-        bench::runScenarios({ only.getValue(), variants.getValue(), seeds.getValue(), trace.getValue() }, std::cout);
+        bench::runScenarios(
+            { only.getValue(), variants.getValue(), seeds.getValue(), trace.getValue() }, std::cout);
         return kExitOk;
     });
 }
--- a/bench/model.cc
+++ b/bench/model.cc
@@ -89,8 +89,9 @@
         for (int index = 0; index < service.targets; ++index)
             targets.push_back(std::make_unique<TargetModel>(simulation, service, generator_()));
     }
-    reach_ = variant == Variant::Jackdawwall ? makeJackdawReach(*this, generator_())
-                                             : makePlainReach(*this, variant == Variant::Static, generator_());
+    reach_ = variant == Variant::Jackdawwall
+        ? makeJackdawReach(*this, generator_())
+        : makePlainReach(*this, variant == Variant::Static, generator_());
 }
 
 Fleet::~Fleet() = default;
--- a/bench/reach-jackdaw.cc
+++ b/bench/reach-jackdaw.cc
@@ -9,34 +9,34 @@
 
 namespace {
 
-    constexpr absl::Duration kTick = absl::Milliseconds(10);
-    constexpr int kTicksPerTrace = 10;
-
-    /// A call that reached a target's node.
-    struct Arrival {
-        CallContext context;
-        ModelCall call;
-        std::function<void(const AttemptReport&)> answer; ///< Empty once answered or cancelled.
-    };
-
-    struct NodeModel {
-        NodeDecisions decisions;
-        std::size_t service = 0;
-        std::size_t target = 0;
-        CallId lastCallId = 0;
-        absl::flat_hash_map<CallId, std::shared_ptr<Arrival>> waiting;
-    };
-
-    /// One outbound call with its copies under way.
-    struct Flow {
-        OutboundCall call;
-        ModelCall model;
-        Done done;
-        bool isClosed = false;
-        int open = 0; ///< Copies under way.
-        std::vector<CancellationPtr> copies;
-        std::vector<Sending> sendings;
-    };
+constexpr absl::Duration kTick = absl::Milliseconds(10);
+constexpr int kTicksPerTrace = 10;
+
+/// A call that reached a target's node.
+struct Arrival {
+    CallContext context;
+    ModelCall call;
+    std::function<void(const AttemptReport&)> answer; ///< Empty once answered or cancelled.
+};
+
+struct NodeModel {
+    NodeDecisions decisions;
+    std::size_t service = 0;
+    std::size_t target = 0;
+    CallId lastCallId = 0;
+    absl::flat_hash_map<CallId, std::shared_ptr<Arrival>> waiting;
+};
+
+/// One outbound call with its copies under way.
+struct Flow {
+    OutboundCall call;
+    ModelCall model;
+    Done done;
+    bool isClosed = false;
+    int open = 0; ///< Copies under way.
+    std::vector<CancellationPtr> copies;
+    std::vector<Sending> sendings;
+};
 
 } // namespace
 
@@ -148,10 +148,11 @@
             const AdmissionState& admission = node->decisions.admission;
             *fleet_.model.trace << "t=" << absl::ToUnixMillis(now()) % 1000000 << " service=" << node->service
                                 << " limit=" << currentLimit(admission.limit)
-                                << " inflight=" << inFlight(admission) << " waiting=" << admission.waiting.size()
+                                << " inflight=" << inFlight(admission)
+                                << " waiting=" << admission.waiting.size()
                                 << " dip=" << admission.limit.isDipping
-                                << " samples=" << admission.limit.window.samples << " slow="
-                                << admission.limit.window.timeSum / admission.limit.window.baseSum
+                                << " samples=" << admission.limit.window.samples
+                                << " slow=" << admission.limit.window.timeSum / admission.limit.window.baseSum
                                 << " budget=" << admission.share.budget;
             for (const auto& [key, demand] : admission.share.demands)
                 *fleet_.model.trace << " " << toText(key.priority) << "=" << demand.fraction << "/"
@@ -166,7 +167,7 @@
         if (!sending)
             return close(flow, finalEnd(flow->call, last));
         const absl::Duration delay = hedgeAfter(nodeOf(*flow).decisions, flow->call);
-        send(flow, *std::move(sending));
+        send(flow, *sending);
         if (delay == absl::InfiniteDuration())
             return;
         const std::size_t copies = flow->copies.size();
@@ -179,10 +180,10 @@
             return;
         std::optional<Sending> sending = sendHedge(nodeOf(*flow).decisions, flow->call, now());
         if (sending)
-            send(flow, *std::move(sending));
+            send(flow, *sending);
     }
 
-    void send(const std::shared_ptr<Flow>& flow, Sending sending)
+    void send(const std::shared_ptr<Flow>& flow, const Sending& sending)
     {
         ++fleet_.roots_[flow->model.root].sends;
         ++flow->open;
@@ -305,13 +306,14 @@
             ++fleet_.roots_[job->root].executions;
         if (!fleet_.targets_[node.service][node.target]->accept(job, fleet_.roots_)) {
             const absl::Duration elsewhere = closeInbound(node.decisions, token, now());
-            release(node,
-                finishCall(node.decisions.admission, id, RunEnd::RefusedByTarget, elsewhere, now()));
+            release(
+                node, finishCall(node.decisions.admission, id, RunEnd::RefusedByTarget, elsewhere, now()));
             refuse(node, arrival, Reason::TargetShed);
         }
     }
 
-    void finish(NodeModel& node, CallId id, CallToken token, const std::shared_ptr<Arrival>& arrival, bool isOk)
+    void finish(
+        NodeModel& node, CallId id, CallToken token, const std::shared_ptr<Arrival>& arrival, bool isOk)
     {
         AttemptReport report;
         report.isAnswered = true;
--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -196,8 +196,14 @@
     run.print("recovery", recoverySeconds(fleet, surge.to, surge.to + kAfter), "s");
 }
 
-void runSurge5(Run& run) { runSurge(run, 5); }
-void runSurge17(Run& run) { runSurge(run, 17); }
+void runSurge5(Run& run)
+{
+    runSurge(run, 5);
+}
+void runSurge17(Run& run)
+{
+    runSurge(run, 17);
+}
 
 /// A deep service slows 20 times for a while and clients retry hard: the bad state must not outlast it.
 void runSlowDeep(Run& run)
@@ -237,8 +243,8 @@
     run.simulation.runUntil(crest + absl::Seconds(8));
     run.print("crest-first-second", wholePerSecond(fleet, { crest, crest + absl::Seconds(1) }) / capacity,
         "share-of-capacity");
-    run.print("crest", wholePerSecond(fleet, { crest, crest + absl::Seconds(3) }) / capacity,
-        "share-of-capacity");
+    run.print(
+        "crest", wholePerSecond(fleet, { crest, crest + absl::Seconds(3) }) / capacity, "share-of-capacity");
 }
 
 /// Short reads beside uploads that take 40 times as long, at full load.
@@ -325,8 +331,8 @@
     for (int kind = 1; kind < kCallers; ++kind)
         others += wholeShare(fleet, { run.start + absl::Seconds(1), run.start + kLength, kind });
     run.print("others-whole", others / (kCallers - 1), "share-whole");
-    run.print("goodput", wholePerSecond(fleet, { run.start, run.start + kLength }) / capacity,
-        "share-of-capacity");
+    run.print(
+        "goodput", wholePerSecond(fleet, { run.start, run.start + kLength }) / capacity, "share-of-capacity");
 }
 
 struct Scenario {
--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -107,7 +107,8 @@
     double virtualTime = 0;
     int longInFlight = 0;
     double shortOffered = 0; ///< Usual work of short kinds, this window.
-    double shortDemand = 0; ///< The same per second, smoothed: the calls of it that are in the target at once.
+    double shortDemand
+        = 0; ///< The same per second, smoothed: the calls of it that are in the target at once.
     absl::flat_hash_map<std::uint64_t, double> finishTags; ///< Last tag of each waiting caller.
     absl::flat_hash_map<CallId, WaitingCall> waiting;
     absl::btree_set<QueueOrder> queue;
@@ -118,7 +119,8 @@
 /// Example:
 ///     AdmissionState state = makeAdmissionState({});
 ///     Decision decision = offerCall(state, call, now);
-///     if (decision.verdict == Verdict::Start) { run(); finishCall(state, call.id, RunEnd::Completed, {}, now); }
+///     if (decision.verdict == Verdict::Start) { run(); finishCall(state, call.id, RunEnd::Completed, {},
+///     now); }
 AdmissionState makeAdmissionState(const AdmissionOptions& options);
 
 /// Offers a call. Start: it is running. Wait: a later Release names it. Refuse: it never ran.
@@ -126,8 +128,7 @@
 
 /// Ends a running call, which spent `elsewhere` waiting for calls of its own to other services. The release
 /// names the calls that take its place.
-Release finishCall(
-    AdmissionState& state, CallId id, RunEnd end, absl::Duration elsewhere, absl::Time now);
+Release finishCall(AdmissionState& state, CallId id, RunEnd end, absl::Duration elsewhere, absl::Time now);
 
 /// Forgets a waiting call whose caller gave up. False when it is no longer waiting.
 bool withdrawCall(AdmissionState& state, CallId id);
--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -147,14 +147,14 @@
     const AttemptReport& report, absl::Time now);
 
 /// True when the call may be tried once more; takes what that costs.
-[[nodiscard]] bool mayRetry(NodeDecisions& decisions, OutboundCall& call, const AttemptEnd& end, absl::Time now);
+[[nodiscard]] bool mayRetry(
+    NodeDecisions& decisions, OutboundCall& call, const AttemptEnd& end, absl::Time now);
 
 /// End of the whole call: an answer, else the strongest doubt over all attempts.
 AttemptEnd finalEnd(const OutboundCall& call, const AttemptEnd& last);
 
 /// Gives the unspent allowance and the result back to the parent. Every opened call must be closed once.
-void closeCall(
-    NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end, absl::Time now);
+void closeCall(NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end, absl::Time now);
 
 /// The call as the admission sees it.
 OfferedCall toOffer(const CallContext& context, CallId id, std::uint64_t bodyBytes);
--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -66,13 +66,14 @@
 /// How long a call was in the target.
 struct RunTime {
     absl::Duration whole;
-    absl::Duration own; ///< Without the time spent on calls to other services: their delay is not this target's.
+    absl::Duration
+        own; ///< Without the time spent on calls to other services: their delay is not this target's.
 };
 
 /// Notes a whole run in the target. Refusals and connection failures must not be passed: their short times
 /// would raise the limit.
-void noteRun(LimitState& state, const LimitOptions& options, CostKey key, const RunTime& time,
-    int inFlightAtStart);
+void noteRun(
+    LimitState& state, const LimitOptions& options, CostKey key, const RunTime& time, int inFlightAtStart);
 
 /// Notes that the target itself refused a call.
 void noteTargetRefusal(LimitState& state);
--- a/include/jackdawwall/rate-limit.h
+++ b/include/jackdawwall/rate-limit.h
@@ -20,6 +20,7 @@
 
 /// Takes one call of a caller that may make `callsPerSecond` here, with bursts of half a second. False when
 /// the caller is over its limit; a rate of 0 is no limit.
-[[nodiscard]] bool takeCall(RateLimitState& state, std::uint64_t caller, double callsPerSecond, absl::Time now);
+[[nodiscard]] bool takeCall(
+    RateLimitState& state, std::uint64_t caller, double callsPerSecond, absl::Time now);
 
 } // namespace jackdawwall
--- a/include/jackdawwall/routing.h
+++ b/include/jackdawwall/routing.h
@@ -23,10 +23,13 @@
 
 struct RoutingOptions {
     std::size_t subsetSize = 16; ///< Targets of one service that one node talks to.
-    absl::Duration failurePause = absl::Seconds(1); ///< A failed target is avoided this long, if others are left.
-    absl::Duration latencyHalfLife = absl::Seconds(1); ///< An old slow answer is forgotten, so that it is tried again.
+    absl::Duration failurePause
+        = absl::Seconds(1); ///< A failed target is avoided this long, if others are left.
+    absl::Duration latencyHalfLife
+        = absl::Seconds(1); ///< An old slow answer is forgotten, so that it is tried again.
     absl::Duration remoteCost = absl::Milliseconds(3); ///< Added for a target in another data centre.
-    absl::Duration levelHold = absl::Milliseconds(300); ///< A fraction is kept this long without news, then raised in steps.
+    absl::Duration levelHold
+        = absl::Milliseconds(300); ///< A fraction is kept this long without news, then raised in steps.
     absl::Duration levelStep = absl::Milliseconds(100);
 };
 
--- a/src/adapter/catalogue-json.cc
+++ b/src/adapter/catalogue-json.cc
@@ -73,8 +73,7 @@
     entry.isRepeatable = readRepeat(reader);
     entry.deadline
         = reader.milliseconds("deadlineMs", entry.deadline, absl::Milliseconds(1), absl::Minutes(10));
-    entry.attempts
-        = static_cast<std::uint32_t>(reader.integer("attempts", entry.attempts, 0, kMostAttempts));
+    entry.attempts = static_cast<std::uint32_t>(reader.integer("attempts", entry.attempts, 0, kMostAttempts));
     return entry;
 }
 
--- a/src/adapter/connection-pool.cc
+++ b/src/adapter/connection-pool.cc
@@ -75,8 +75,8 @@
     return count;
 }
 
-absl::StatusOr<HttpAnswer> fetch(
-    ConnectionPool& pool, const std::string& destination, const ExchangeRequest& request, std::size_t longestBody)
+absl::StatusOr<HttpAnswer> fetch(ConnectionPool& pool, const std::string& destination,
+    const ExchangeRequest& request, std::size_t longestBody)
 {
     std::unique_ptr<Exchange> exchange = pool.borrow(destination);
     exchange->start(request);
--- a/src/adapter/connection-pool.h
+++ b/src/adapter/connection-pool.h
@@ -44,7 +44,7 @@
 
 /// Sends one request with a whole body and reads the whole answer, at most `longestBody` bytes. The status
 /// is Unavailable when nothing was sent, DataLoss when the request may have taken effect.
-absl::StatusOr<HttpAnswer> fetch(
-    ConnectionPool& pool, const std::string& destination, const ExchangeRequest& request, std::size_t longestBody);
+absl::StatusOr<HttpAnswer> fetch(ConnectionPool& pool, const std::string& destination,
+    const ExchangeRequest& request, std::size_t longestBody);
 
 } // namespace jackdawwall
--- a/src/adapter/exchange.cc
+++ b/src/adapter/exchange.cc
@@ -28,8 +28,8 @@
 {
     const CURLcode code = curl_easy_setopt(easy, option, value);
     if (code != CURLE_OK)
-        throw std::runtime_error(absl::StrCat("curl option ", static_cast<int>(option), ": ",
-            curl_easy_strerror(code)));
+        throw std::runtime_error(
+            absl::StrCat("curl option ", static_cast<int>(option), ": ", curl_easy_strerror(code)));
 }
 
 curl_slist* makeHeaders(const ExchangeRequest& request)
@@ -294,7 +294,8 @@
         return;
     }
     const absl::Duration left = std::min({ deadline_ - now, until - now, kLongestWait });
-    const auto timeoutMs = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(left, absl::Milliseconds(1))));
+    const auto timeoutMs
+        = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(left, absl::Milliseconds(1))));
     curl_waitfd watched { watchedSocket_, CURL_WAIT_POLLIN, 0 };
     curl_multi_poll(multi_, &watched, watchedSocket_ >= 0 ? 1 : 0, std::max(0, timeoutMs), nullptr);
     if (watched.revents != 0 && isWatchedSocketClosed())
@@ -355,9 +356,7 @@
 
 void Exchange::awaitEither(Exchange* other, absl::Time until)
 {
-    const auto isSettled = [](const Exchange* exchange) {
-        return exchange->hasHead_ || !exchange->isAdded_;
-    };
+    const auto isSettled = [](const Exchange* exchange) { return exchange->hasHead_ || !exchange->isAdded_; };
     while (!isSettled(this) && absl::Now() < until) {
         if (other != nullptr && isSettled(other))
             return;
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -83,7 +83,10 @@
     return bytes == 0 ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
-void freeStream(void* cls) { delete static_cast<Stream*>(cls); }
+void freeStream(void* cls)
+{
+    delete static_cast<Stream*>(cls);
+}
 
 MHD_Response* makeResponse(HttpReply& reply)
 {
@@ -104,8 +107,7 @@
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
     if (entry.shared->isClosing)
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
-    const MHD_Result result
-        = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
+    const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
     MHD_destroy_response(response);
     return result;
 }
@@ -131,8 +133,7 @@
     return MHD_YES;
 }
 
-MHD_Result continueRequest(
-    MHD_Connection* connection, Entry& entry, const char* data, std::size_t* size)
+MHD_Result continueRequest(MHD_Connection* connection, Entry& entry, const char* data, std::size_t* size)
 {
     if (*size == 0)
         return queueReply(connection, entry, entry.session->finish());
@@ -162,8 +163,8 @@
     return entry.release();
 }
 
-void onCompleted(void* /*cls*/, MHD_Connection* /*connection*/, void** context,
-    MHD_RequestTerminationCode /*code*/)
+void onCompleted(
+    void* /*cls*/, MHD_Connection* /*connection*/, void** context, MHD_RequestTerminationCode /*code*/)
 {
     const std::unique_ptr<Entry> entry(static_cast<Entry*>(*context));
     *context = nullptr;
@@ -187,17 +188,16 @@
     return parsed;
 }
 
-MHD_Daemon* startDaemon(
-    const HttpServerOptions& options, sockaddr_in* address, HttpServer::Shared* shared)
+MHD_Daemon* startDaemon(const HttpServerOptions& options, sockaddr_in* address, HttpServer::Shared* shared)
 {
-    constexpr unsigned kFlags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
-        | MHD_USE_POLL | MHD_USE_ITC;
+    constexpr unsigned kFlags
+        = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
     return MHD_start_daemon(kFlags, 0, nullptr, nullptr, &onRequest, shared, MHD_OPTION_SOCK_ADDR, address,
         MHD_OPTION_URI_LOG_CALLBACK, &onTarget, shared, MHD_OPTION_NOTIFY_COMPLETED, &onCompleted, shared,
         MHD_OPTION_CONNECTION_LIMIT, options.connectionLimit, MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned>(absl::ToInt64Seconds(options.idleTimeout)),
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.headBytes, MHD_OPTION_THREAD_STACK_SIZE,
-        kThreadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE, kBacklog, MHD_OPTION_END);
+        static_cast<unsigned>(absl::ToInt64Seconds(options.idleTimeout)), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        options.headBytes, MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        kBacklog, MHD_OPTION_END);
 }
 
 /// Collects a whole body.
@@ -276,13 +276,25 @@
 {
 }
 
-HttpServer::~HttpServer() { stop(); }
+HttpServer::~HttpServer()
+{
+    stop();
+}
 
-int HttpServer::active() const { return shared_->active; }
+int HttpServer::active() const
+{
+    return shared_->active;
+}
 
-std::uint64_t HttpServer::begun() const { return shared_->begun; }
+std::uint64_t HttpServer::begun() const
+{
+    return shared_->begun;
+}
 
-void HttpServer::closeAfterAnswers() { shared_->isClosing = true; }
+void HttpServer::closeAfterAnswers()
+{
+    shared_->isClosing = true;
+}
 
 void HttpServer::stopAccepting()
 {
@@ -314,7 +326,8 @@
     if (question == absl::string_view::npos)
         return "";
     for (const absl::string_view part : absl::StrSplit(target.substr(question + 1), '&')) {
-        const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+        const std::pair<absl::string_view, absl::string_view> pair
+            = absl::StrSplit(part, absl::MaxSplits('=', 1));
         if (pair.first == name)
             return percentDecoded(pair.second);
     }
--- a/src/adapter/json-reader.cc
+++ b/src/adapter/json-reader.cc
@@ -13,7 +13,8 @@
 
 int lineAt(const std::string& text, std::ptrdiff_t offset)
 {
-    const auto end = text.begin() + std::min<std::ptrdiff_t>(offset, static_cast<std::ptrdiff_t>(text.size()));
+    const auto end
+        = text.begin() + std::min<std::ptrdiff_t>(offset, static_cast<std::ptrdiff_t>(text.size()));
     return 1 + static_cast<int>(std::count(text.begin(), end, '\n'));
 }
 
@@ -85,7 +86,10 @@
     return &object_[key];
 }
 
-int JsonReader::lineOf(const Json::Value& value) const { return lineAt(source_.text, value.getOffsetStart()); }
+int JsonReader::lineOf(const Json::Value& value) const
+{
+    return lineAt(source_.text, value.getOffsetStart());
+}
 
 void JsonReader::finding(const std::string& key, const std::string& message)
 {
@@ -109,7 +113,7 @@
 std::string JsonReader::requiredText(const std::string& key)
 {
     const std::size_t before = source_.findings->size();
-    const std::string value = text(key, "");
+    std::string value = text(key, "");
     if (value.empty() && source_.findings->size() == before)
         finding(key, "must be given");
     return value;
@@ -169,7 +173,7 @@
 
 std::string JsonReader::address(const std::string& key, const std::string& fallback)
 {
-    const std::string value = text(key, fallback);
+    std::string value = text(key, fallback);
     if (isAddress(value))
         return value;
     finding(key, absl::StrCat("must be an address like 127.0.0.1:8080, not \"", value, "\""));
--- a/src/adapter/json-reader.h
+++ b/src/adapter/json-reader.h
@@ -37,7 +37,8 @@
 
     std::string text(const std::string& key, const std::string& fallback);
     double number(const std::string& key, double fallback, double least, double most);
-    std::int64_t integer(const std::string& key, std::int64_t fallback, std::int64_t least, std::int64_t most);
+    std::int64_t integer(
+        const std::string& key, std::int64_t fallback, std::int64_t least, std::int64_t most);
     bool boolean(const std::string& key, bool fallback);
     absl::Duration milliseconds(
         const std::string& key, absl::Duration fallback, absl::Duration least, absl::Duration most);
--- a/src/adapter/log.cc
+++ b/src/adapter/log.cc
@@ -87,8 +87,7 @@
     processName() = options.process;
     spdlog::init_thread_pool(kQueueLength, 1);
     if (options.path.empty())
-        spdlog::set_default_logger(
-            spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("jackdawwall"));
+        spdlog::set_default_logger(spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("jackdawwall"));
     else
         spdlog::set_default_logger(
             spdlog::create_async_nb<spdlog::sinks::basic_file_sink_mt>("jackdawwall", options.path));
@@ -106,8 +105,8 @@
     std::string line = absl::StrCat("process=", processName(), " seq=", ++eventSequence(), " event=", event);
     for (const LogField& field : fields)
         absl::StrAppend(&line, " ", field.key, "=", quoted(field.value));
-    keepRecent(absl::StrCat("time=",
-        absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(), absl::UTCTimeZone()), " ", line));
+    keepRecent(absl::StrCat(
+        "time=", absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(), absl::UTCTimeZone()), " ", line));
     logger->log(toSpdlog(level), "{}", line);
 }
 
@@ -127,6 +126,9 @@
     return pool ? pool->overrun_counter() : 0;
 }
 
-void stopLog() { spdlog::shutdown(); }
+void stopLog()
+{
+    spdlog::shutdown();
+}
 
 } // namespace jackdawwall
--- a/src/adapter/platform-client.cc
+++ b/src/adapter/platform-client.cc
@@ -68,7 +68,8 @@
         return objectOf(key, call("GET", absl::StrCat("/v1/objects/", key), "", options_.timeout));
     }
 
-    absl::StatusOr<ObjectVersion> write(const std::string& key, const std::string& value, ObjectVersion ifVersion)
+    absl::StatusOr<ObjectVersion> write(
+        const std::string& key, const std::string& value, ObjectVersion ifVersion)
     {
         const std::string target = absl::StrCat("/v1/objects/", key, "?if-version=", ifVersion);
         absl::StatusOr<StoredObject> written = objectOf(key, call("PUT", target, value, options_.timeout));
--- a/src/adapter/timer-service.cc
+++ b/src/adapter/timer-service.cc
@@ -11,7 +11,10 @@
 {
 }
 
-TimerService::~TimerService() { stop(); }
+TimerService::~TimerService()
+{
+    stop();
+}
 
 void TimerService::subscribe(absl::Duration interval, std::function<void(absl::Time)> work)
 {
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -80,7 +80,8 @@
 
 absl::Duration waitTarget(const AdmissionState& state)
 {
-    return std::max(state.options.shortestWaitTarget, absl::Seconds(state.options.waitTargetTimes * state.meanTime));
+    return std::max(
+        state.options.shortestWaitTarget, absl::Seconds(state.options.waitTargetTimes * state.meanTime));
 }
 
 absl::Duration longestWait(const AdmissionState& state)
@@ -214,7 +215,8 @@
     const RunTime runTime { time, std::max(absl::ZeroDuration(), time - elsewhere) };
     noteRun(state.limit, state.options.limit, running.cost, runTime, running.inFlightAtStart);
     const double seconds = absl::ToDoubleSeconds(time);
-    state.meanTime = state.meanTime == 0 ? seconds : state.meanTime + kMeanWeight * (seconds - state.meanTime);
+    state.meanTime
+        = state.meanTime == 0 ? seconds : state.meanTime + kMeanWeight * (seconds - state.meanTime);
 }
 
 } // namespace
@@ -245,8 +247,7 @@
     return { Verdict::Wait, Reason::None };
 }
 
-Release finishCall(
-    AdmissionState& state, CallId id, RunEnd end, absl::Duration elsewhere, absl::Time now)
+Release finishCall(AdmissionState& state, CallId id, RunEnd end, absl::Duration elsewhere, absl::Time now)
 {
     Release release;
     const auto found = state.running.find(id);
@@ -283,14 +284,20 @@
     return release;
 }
 
-void startDraining(AdmissionState& state) { state.isDraining = true; }
+void startDraining(AdmissionState& state)
+{
+    state.isDraining = true;
+}
 
 std::uint32_t admittedFraction(const AdmissionState& state, Priority priority, std::uint64_t caller)
 {
     return admittedFraction(state.share, ShareKey { priority, caller });
 }
 
-int inFlight(const AdmissionState& state) { return static_cast<int>(state.running.size()); }
+int inFlight(const AdmissionState& state)
+{
+    return static_cast<int>(state.running.size());
+}
 
 CostKey costKey(absl::string_view kind, std::uint64_t bodyBytes)
 {
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -7,7 +7,10 @@
 namespace jackdawwall {
 namespace {
 
-std::uint64_t hedgeKey(const OutboundCall& call) { return mixBits(call.path.service ^ call.path.kind); }
+std::uint64_t hedgeKey(const OutboundCall& call)
+{
+    return mixBits(call.path.service ^ call.path.kind);
+}
 
 void applyWork(OutboundCall& call, const CallAsk& ask, const WorkEntry& work, absl::Time now)
 {
@@ -57,7 +60,10 @@
     call.context.rank = requestRank(call.context.requestId);
 }
 
-absl::string_view nameOrDefault(const std::string& name) { return name.empty() ? kDefaultName : name; }
+absl::string_view nameOrDefault(const std::string& name)
+{
+    return name.empty() ? kDefaultName : name;
+}
 
 const std::vector<Candidate>& candidatesFor(NodeDecisions& decisions, const std::string& service)
 {
@@ -107,7 +113,6 @@
     return sending;
 }
 
-
 AttemptEnd worseOf(const AttemptEnd& left, const AttemptEnd& right)
 {
     return right.outcome >= left.outcome ? right : left;
@@ -153,8 +158,7 @@
     } else if (const absl::Status status = applyParent(decisions, call, now); !status.ok()) {
         return status;
     }
-    call.path
-        = { stableHash(call.service), stableHash(call.context.kind), stableHash(call.context.caller) };
+    call.path = { stableHash(call.service), stableHash(call.context.kind), stableHash(call.context.caller) };
     return call;
 }
 
--- a/src/catalogue.cc
+++ b/src/catalogue.cc
@@ -20,7 +20,10 @@
     return entry;
 }
 
-bool changedSince(CatalogueVersion changedAfter, CatalogueVersion basedOn) { return changedAfter >= basedOn; }
+bool changedSince(CatalogueVersion changedAfter, CatalogueVersion basedOn)
+{
+    return changedAfter >= basedOn;
+}
 
 /// Collects one plan; `headVersion` is what all its changes are made on.
 struct Planner {
@@ -90,7 +93,10 @@
     return findEntry(catalogue.works, name);
 }
 
-bool isNewer(CatalogueVersion offered, CatalogueVersion held) { return offered > held; }
+bool isNewer(CatalogueVersion offered, CatalogueVersion held)
+{
+    return offered > held;
+}
 
 ApplyPlan planApply(const CatalogueDocument& head, CatalogueVersion headVersion, const WantedEntries& wanted,
     CatalogueVersion basedOn, absl::string_view applyId)
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -159,7 +159,10 @@
     ++state.window.samples;
 }
 
-void noteTargetRefusal(LimitState& state) { ++state.window.targetRefusals; }
+void noteTargetRefusal(LimitState& state)
+{
+    ++state.window.targetRefusals;
+}
 
 void closeWindow(LimitState& state, const LimitOptions& options, absl::Time now)
 {
@@ -186,9 +189,15 @@
     return state.window.peakInFlight >= kReachedShare * std::floor(state.limit);
 }
 
-int currentLimit(const LimitState& state) { return static_cast<int>(state.limit); }
+int currentLimit(const LimitState& state)
+{
+    return static_cast<int>(state.limit);
+}
 
-double steadyLimit(const LimitState& state) { return state.isDipping ? state.ceiling : state.limit; }
+double steadyLimit(const LimitState& state)
+{
+    return state.isDipping ? state.ceiling : state.limit;
+}
 
 double usualSeconds(const LimitState& state, CostKey key, double fallback)
 {
--- a/src/core.cc
+++ b/src/core.cc
@@ -26,12 +26,27 @@
 
 } // namespace
 
-absl::string_view toText(Outcome outcome) { return kOutcomeTexts.at(static_cast<std::size_t>(outcome)); }
-absl::string_view toText(Reason reason) { return kReasonTexts.at(static_cast<std::size_t>(reason)); }
-absl::string_view toText(Priority priority) { return kPriorityTexts.at(static_cast<std::size_t>(priority)); }
+absl::string_view toText(Outcome outcome)
+{
+    return kOutcomeTexts.at(static_cast<std::size_t>(outcome));
+}
+absl::string_view toText(Reason reason)
+{
+    return kReasonTexts.at(static_cast<std::size_t>(reason));
+}
+absl::string_view toText(Priority priority)
+{
+    return kPriorityTexts.at(static_cast<std::size_t>(priority));
+}
 
-std::optional<Outcome> outcomeFromText(absl::string_view text) { return fromText<Outcome>(kOutcomeTexts, text); }
-std::optional<Reason> reasonFromText(absl::string_view text) { return fromText<Reason>(kReasonTexts, text); }
+std::optional<Outcome> outcomeFromText(absl::string_view text)
+{
+    return fromText<Outcome>(kOutcomeTexts, text);
+}
+std::optional<Reason> reasonFromText(absl::string_view text)
+{
+    return fromText<Reason>(kReasonTexts, text);
+}
 std::optional<Priority> priorityFromText(absl::string_view text)
 {
     return fromText<Priority>(kPriorityTexts, text);
--- a/src/fair-share.cc
+++ b/src/fair-share.cc
@@ -121,7 +121,10 @@
 
 } // namespace
 
-std::uint32_t forwardedFraction(std::uint32_t fraction) { return std::max(fraction, kProbeRanks); }
+std::uint32_t forwardedFraction(std::uint32_t fraction)
+{
+    return std::max(fraction, kProbeRanks);
+}
 
 std::uint32_t raisedFraction(std::uint32_t fraction)
 {
--- a/src/main/ctl-fleet.cc
+++ b/src/main/ctl-fleet.cc
@@ -130,8 +130,8 @@
     if (context.options.isJson)
         std::cout << canonicalJson(list) << "\n";
     else
-        std::cout << "nodes=" << list.size() << " silent=" << silent << " catalogue-versions=" << versions.size()
-                  << "\n";
+        std::cout << "nodes=" << list.size() << " silent=" << silent
+                  << " catalogue-versions=" << versions.size() << "\n";
     return list.empty() ? kExitFailed : kExitOk;
 }
 
--- a/src/main/ctl-timeline.cc
+++ b/src/main/ctl-timeline.cc
@@ -24,7 +24,8 @@
 
 std::string escaped(const std::string& text)
 {
-    return absl::StrReplaceAll(text, { { "&", "&amp;" }, { "<", "&lt;" }, { ">", "&gt;" }, { "\"", "&quot;" } });
+    return absl::StrReplaceAll(
+        text, { { "&", "&amp;" }, { "<", "&lt;" }, { ">", "&gt;" }, { "\"", "&quot;" } });
 }
 
 std::map<std::string, int> lanesOf(const std::vector<TimelineEvent>& events)
@@ -82,8 +83,9 @@
     for (const TimelineEvent& event : events) {
         const int left = lanes.at(event.process) * kLaneWidth;
         absl::StrAppend(&page, "<div class=\"e\" title=\"", escaped(event.line), "\" style=\"left:", left,
-            "px;top:", row++ * kRowHeight, "px\">", absl::FormatTime("%H:%M:%E3S", event.time, absl::UTCTimeZone()),
-            " ", escaped(fieldOf(event.line, "event")), "</div>\n");
+            "px;top:", row++ * kRowHeight, "px\">",
+            absl::FormatTime("%H:%M:%E3S", event.time, absl::UTCTimeZone()), " ",
+            escaped(fieldOf(event.line, "event")), "</div>\n");
     }
     return page;
 }
--- a/src/main/load-report.cc
+++ b/src/main/load-report.cc
@@ -72,7 +72,10 @@
     return bins;
 }
 
-bool isRecovered(const BinCount& bin) { return bin.whole >= kRecoveredShare * bin.offered; }
+bool isRecovered(const BinCount& bin)
+{
+    return bin.whole >= kRecoveredShare * bin.offered;
+}
 
 /// Time from `from` until all later bins are served; negative when that never happens.
 double recoverySeconds(const std::vector<LoadResult>& results, absl::Duration from)
@@ -90,7 +93,8 @@
 }
 
 /// The five measures look at phases by name: "surge" and what follows it.
-void appendRecovery(const LineContext& context, const LoadScript& script, const std::vector<LoadResult>& results)
+void appendRecovery(
+    const LineContext& context, const LoadScript& script, const std::vector<LoadResult>& results)
 {
     absl::Duration end;
     for (const LoadPhase& phase : script.phases) {
--- a/src/main/load-script.cc
+++ b/src/main/load-script.cc
@@ -24,13 +24,15 @@
     kind.service = reader.text("service", "");
     kind.share = reader.number("share", 1, 0, 1e6);
     kind.bodyBytes = reader.integer("bodyBytes", 0, 0, 1LL << 30);
-    kind.deadline = reader.milliseconds("deadlineMs", kind.deadline, absl::Milliseconds(1), absl::Minutes(10));
+    kind.deadline
+        = reader.milliseconds("deadlineMs", kind.deadline, absl::Milliseconds(1), absl::Minutes(10));
     kind.isOnce = reader.boolean("once", false);
     return kind;
 }
 
 /// Reads each object of a list with `read`.
-template <typename Read> void readList(const JsonSource& source, const Json::Value& root, const char* key, Read read)
+template <typename Read>
+void readList(const JsonSource& source, const Json::Value& root, const char* key, Read read)
 {
     if (!root[key].isArray() || root[key].empty()) {
         source.findings->push_back({ source.file, 1, key, "must be a list that is not empty" });
@@ -53,7 +55,8 @@
     const std::optional<Json::Value> root = findings.empty() ? parseJson(source) : std::nullopt;
     if (!root)
         return script;
-    readList(source, *root, "phases", [&](JsonReader& reader) { script.phases.push_back(readPhase(reader)); });
+    readList(
+        source, *root, "phases", [&](JsonReader& reader) { script.phases.push_back(readPhase(reader)); });
     readList(source, *root, "mix", [&](JsonReader& reader) { script.kinds.push_back(readKind(reader)); });
     Json::Value rest = *root;
     rest.removeMember("phases");
--- a/src/main/load.cc
+++ b/src/main/load.cc
@@ -50,7 +50,8 @@
         absl::ToUnixMicros(run.start) % 1'000'000, "-", job.number);
 }
 
-ExchangeRequest makeRequest(const LoadRun& run, const LoadJob& job, const std::string& requestId, absl::Time deadline)
+ExchangeRequest makeRequest(
+    const LoadRun& run, const LoadJob& job, const std::string& requestId, absl::Time deadline)
 {
     const LoadKind& kind = run.script.kinds[job.kind];
     ExchangeRequest request;
@@ -156,6 +157,7 @@
     run.body.assign(static_cast<std::size_t>(longestBody), 'x');
     run.start = absl::Now();
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<std::size_t>(run.script.threads));
     for (int index = 0; index < run.script.threads; ++index)
         workers.emplace_back([&run] { work(run); });
     schedule(run);
@@ -178,7 +180,8 @@
         TCLAP::CmdLine line("Open-loop callers that print the measures.", ' ', kProgramVersion);
         TCLAP::MultiArg<std::string> addresses("a", "address", "Nodes or targets", true, "IP:PORT", line);
         TCLAP::ValueArg<std::string> script("s", "script", "JSON with comments", true, "", "FILE", line);
-        TCLAP::ValueArg<std::string> variant("v", "variant", "Label of the lines", false, "run", "NAME", line);
+        TCLAP::ValueArg<std::string> variant(
+            "v", "variant", "Label of the lines", false, "run", "NAME", line);
         line.parse(argc, argv);
         std::vector<Finding> findings;
         LoadScript read = readLoadScript(script.getValue(), findings);
--- a/src/main/node.cc
+++ b/src/main/node.cc
@@ -110,7 +110,7 @@
         return gossip.status();
     process.gossip = *std::move(gossip);
     process.node.controlAddress = process.gossip->address();
-    const absl::Status ports = startPorts(process);
+    absl::Status ports = startPorts(process);
     if (!ports.ok())
         return ports;
     startMembership(process);
@@ -126,8 +126,9 @@
 {
     const NodeState& node = process.node;
     logEvent(LogLevel::Info, "node-started",
-        { { "service", node.settings.service }, { "caller", node.callerAddress }, { "peer", node.peerAddress },
-            { "control", node.controlAddress }, { "operator", process.operatorPort->address() } });
+        { { "service", node.settings.service }, { "caller", node.callerAddress },
+            { "peer", node.peerAddress }, { "control", node.controlAddress },
+            { "operator", process.operatorPort->address() } });
     std::cout << "ready caller=" << node.callerAddress << " peer=" << node.peerAddress
               << " control=" << node.controlAddress << " operator=" << process.operatorPort->address()
               << std::endl;
@@ -211,7 +212,8 @@
     using namespace jackdawwall;
     return runMain([&] {
         TCLAP::CmdLine line("The jackdawwall process beside one target.", ' ', kProgramVersion);
-        TCLAP::ValueArg<std::string> file("s", "settings", "JSON settings with comments", false, "", "FILE", line);
+        TCLAP::ValueArg<std::string> file(
+            "s", "settings", "JSON settings with comments", false, "", "FILE", line);
         TCLAP::MultiArg<std::string> overrides("o", "set", "Overrides one setting", false, "KEY=VALUE", line);
         TCLAP::SwitchArg checkOnly("c", "check", "Only checks the settings", line);
         line.parse(argc, argv);
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -25,7 +25,10 @@
     record.statusSince = now;
 }
 
-MemberRecord& selfRecord(MembershipState& state) { return state.members.at(state.self); }
+MemberRecord& selfRecord(MembershipState& state)
+{
+    return state.members.at(state.self);
+}
 
 /// True when the news is about this node; then it is refuted if it is wrong.
 bool refute(MembershipState& state, const Member& told, absl::Time now)
@@ -118,7 +121,10 @@
 
 } // namespace
 
-absl::string_view toText(MemberStatus status) { return kStatusTexts.at(static_cast<std::size_t>(status)); }
+absl::string_view toText(MemberStatus status)
+{
+    return kStatusTexts.at(static_cast<std::size_t>(status));
+}
 
 MembershipState makeMembership(const Member& self, const MembershipOptions& options, absl::Time now)
 {
--- a/src/node/attempt.cc
+++ b/src/node/attempt.cc
@@ -102,8 +102,8 @@
     request.streamBytes = body.head.bodyBytes;
     request.waitsForContinue = body.isStreamed;
     request.deadline = call.context.deadline;
-    request.needsFreshConnection = !call.context.isRepeatable
-        && attempt.sending.at - attempt.exchange->lastUsed() > kTrustedIdle;
+    request.needsFreshConnection
+        = !call.context.isRepeatable && attempt.sending.at - attempt.exchange->lastUsed() > kTrustedIdle;
     request.watchedSocket = body.head.socket;
     attempt.exchange->start(request);
     return attempt;
@@ -138,7 +138,8 @@
     if (report.isAnswered)
         report.feedback = decodeFeedback(findHeader(exchange.headers(), kFeedbackHeader));
     const bool hasFailedDeeper = report.feedback && report.feedback->hasFailedDeeper;
-    report.end = report.isAnswered ? endOfAnswer(exchange, hasFailedDeeper) : endWithoutAnswer(exchange.end());
+    report.end
+        = report.isAnswered ? endOfAnswer(exchange, hasFailedDeeper) : endWithoutAnswer(exchange.end());
     if (report.end.reason == Reason::ConnectionLost)
         node.pool.dropIdle(attempt.sending.address);
     const absl::MutexLock lock(&node.mutex);
--- a/src/node/call-wire.cc
+++ b/src/node/call-wire.cc
@@ -2,8 +2,8 @@
 
 #include "generated/wire.pb.h"
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -203,7 +203,10 @@
         message.failed_deeper() };
 }
 
-std::string encodeToken(CallToken token) { return absl::StrCat(absl::Hex(token, absl::kZeroPad16)); }
+std::string encodeToken(CallToken token)
+{
+    return absl::StrCat(absl::Hex(token, absl::kZeroPad16));
+}
 
 std::vector<HttpHeader> forwardedHeaders(const std::vector<HttpHeader>& headers)
 {
@@ -228,8 +231,8 @@
     if (after > 0)
         reply.headers.push_back({ kRetryAfterHeader, absl::StrCat(after) });
     reply.headers.push_back({ "Content-Type", "text/plain" });
-    reply.body = absl::StrCat(
-        toText(failure.outcome), ": ", failure.detail.empty() ? toText(failure.reason) : failure.detail, "\n");
+    reply.body = absl::StrCat(toText(failure.outcome), ": ",
+        failure.detail.empty() ? toText(failure.reason) : failure.detail, "\n");
     return reply;
 }
 
--- a/src/node/caller-side.cc
+++ b/src/node/caller-side.cc
@@ -30,8 +30,10 @@
         return CallFailure { Outcome::NotRun, Reason::PlatformUnavailable,
             "the platform can't tell now whether this ran before" };
     case ClaimEnd::BadId:
-        return CallFailure { Outcome::NotRun, Reason::BadRequest,
-            "Jackdaw-Request-Id of unrepeatable work must be t<unix seconds>-<unique>, not older than an hour" };
+        return CallFailure {
+            Outcome::NotRun, Reason::BadRequest,
+            "Jackdaw-Request-Id of unrepeatable work must be t<unix seconds>-<unique>, not older than an hour"
+        };
     }
     return std::nullopt;
 }
@@ -104,8 +106,8 @@
             return CallFailure { Outcome::NotRun, reason, "" };
         if (call_->context.isRepeatable)
             return std::nullopt;
-        const std::string holder = absl::StrCat(node_.peerAddress, "/", absl::ToUnixNanos(now), "/",
-            reinterpret_cast<std::uintptr_t>(this));
+        const std::string holder = absl::StrCat(
+            node_.peerAddress, "/", absl::ToUnixNanos(now), "/", reinterpret_cast<std::uintptr_t>(this));
         claim_ = claimRequest(node_.platform, call_->context.requestId, holder, now);
         return failureOf(claim_.end);
     }
--- a/src/node/claim-store.cc
+++ b/src/node/claim-store.cc
@@ -16,15 +16,18 @@
 /// Beyond validity and lead, for nodes whose clocks differ.
 constexpr absl::Duration kRemovalDelay = absl::Hours(1);
 
-std::int64_t bucketOf(absl::Time time) { return absl::ToUnixSeconds(time) / kBucketSeconds; }
+std::int64_t bucketOf(absl::Time time)
+{
+    return absl::ToUnixSeconds(time) / kBucketSeconds;
+}
 
 std::string claimKey(absl::string_view requestId, absl::Time time)
 {
     // Two hashes, 128 bits: different ids never share a claim in practice.
     const std::uint64_t first = stableHash(requestId);
     const std::uint64_t second = stableHash(absl::StrCat(requestId, "#"));
-    return absl::StrCat(
-        kClaimPrefix, bucketOf(time), "/", absl::Hex(first, absl::kZeroPad16), absl::Hex(second, absl::kZeroPad16));
+    return absl::StrCat(kClaimPrefix, bucketOf(time), "/", absl::Hex(first, absl::kZeroPad16),
+        absl::Hex(second, absl::kZeroPad16));
 }
 
 /// After a write whose fate is open: reads who holds the claim.
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -183,7 +183,10 @@
     return gossip;
 }
 
-Gossip::~Gossip() { stop(); }
+Gossip::~Gossip()
+{
+    stop();
+}
 
 void Gossip::run()
 {
@@ -242,8 +245,7 @@
     auto message = std::make_unique<Message>();
     message->receiver = receiver;
     const MembershipState& membership = node_.decisions.membership;
-    for (const Member& member :
-        newsFor(membership, receiver.peerAddress, kMostNewsPerMessage, message->upTo))
+    for (const Member& member : newsFor(membership, receiver.peerAddress, kMostNewsPerMessage, message->upTo))
         *message->request.add_updates() = toWire(member);
     *message->request.mutable_sender() = toWire(membership.members.at(membership.self).member);
     message->request.set_catalogue_version(node_.catalogue()->version);
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -17,7 +17,8 @@
 
 void appendCounter(std::string& text, absl::string_view name, absl::string_view help, std::uint64_t value)
 {
-    absl::StrAppend(&text, "# HELP ", name, " ", help, "\n# TYPE ", name, " counter\n", name, " ", value, "\n");
+    absl::StrAppend(
+        &text, "# HELP ", name, " ", help, "\n# TYPE ", name, " counter\n", name, " ", value, "\n");
 }
 
 void appendEnds(std::string& text, absl::string_view name, absl::string_view help,
@@ -29,12 +30,13 @@
             toText(labels.outcome), "\",reason=\"", toText(labels.reason), "\"} ", count, "\n");
 }
 
-void appendSummary(std::string& text, absl::string_view name, absl::string_view help, const TimeSummary& summary)
+void appendSummary(
+    std::string& text, absl::string_view name, absl::string_view help, const TimeSummary& summary)
 {
     absl::StrAppend(&text, "# HELP ", name, " ", help, "\n# TYPE ", name, " summary\n");
     for (const double quantile : kQuantiles) {
-        const double value = boost::accumulators::quantile(
-            summary, boost::accumulators::quantile_probability = quantile);
+        const double value
+            = boost::accumulators::quantile(summary, boost::accumulators::quantile_probability = quantile);
         absl::StrAppend(&text, name, "{quantile=\"", quantile, "\"} ", value, "\n");
     }
     absl::StrAppend(&text, name, "_sum ", boost::accumulators::sum(summary), "\n", name, "_count ",
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -10,8 +10,8 @@
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
 
 #include <cstdint>
 #include <string>
--- a/src/node/node-state.cc
+++ b/src/node/node-state.cc
@@ -7,7 +7,6 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-
 namespace jackdawwall {
 namespace {
 
--- a/src/node/operator-port.cc
+++ b/src/node/operator-port.cc
@@ -102,8 +102,8 @@
     std::string gauges;
     appendGauge(gauges, "jackdaw_catalogue_version", "Version of the catalogue in force.",
         static_cast<double>(node.catalogue()->version));
-    appendGauge(gauges, "jackdaw_dropped_log_events", "Log events dropped.",
-        static_cast<double>(droppedLogEvents()));
+    appendGauge(
+        gauges, "jackdaw_dropped_log_events", "Log events dropped.", static_cast<double>(droppedLogEvents()));
     {
         const absl::MutexLock lock(&node.mutex);
         const NodeDecisions& decisions = node.decisions;
--- a/src/node/platform-duty.cc
+++ b/src/node/platform-duty.cc
@@ -55,7 +55,10 @@
 {
 }
 
-PlatformDuty::~PlatformDuty() { stop(); }
+PlatformDuty::~PlatformDuty()
+{
+    stop();
+}
 
 void PlatformDuty::run()
 {
@@ -95,8 +98,7 @@
     const std::uint64_t own = mixBits(stableHash(membership.self));
     std::size_t rank = 0;
     for (const auto& [address, record] : membership.members) {
-        const bool counts
-            = !onlyOwnDataCentre || record.member.dataCentre == node_.settings.dataCentre;
+        const bool counts = !onlyOwnDataCentre || record.member.dataCentre == node_.settings.dataCentre;
         if (counts && record.member.status == MemberStatus::Alive && mixBits(stableHash(address)) < own)
             ++rank;
     }
@@ -124,7 +126,8 @@
     }
     if (isAlone())
         logEvent(LogLevel::Warning, "no-peers",
-            { { "platform", seeds.ok() ? "up" : seeds.status().message() }, { "serves", "own-target-only" } });
+            { { "platform", seeds.ok() ? "up" : seeds.status().message() },
+                { "serves", "own-target-only" } });
 }
 
 void PlatformDuty::offerSeed()
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -16,7 +16,8 @@
 Json::Value overrideValue(const std::string& text)
 {
     std::vector<Finding> ignored;
-    const std::optional<Json::Value> wrapped = parseJson({ "", absl::StrCat("{\"v\":", text, "}"), &ignored });
+    const std::optional<Json::Value> wrapped
+        = parseJson({ "", absl::StrCat("{\"v\":", text, "}"), &ignored });
     return wrapped ? (*wrapped)["v"] : Json::Value(text);
 }
 
--- a/src/node/target-side.cc
+++ b/src/node/target-side.cc
@@ -238,8 +238,7 @@
     HttpReply passOn()
     {
         const CallFailure result = meaning();
-        running_->setEnd(
-            result.reason == Reason::TargetShed ? RunEnd::RefusedByTarget : RunEnd::Completed);
+        running_->setEnd(result.reason == Reason::TargetShed ? RunEnd::RefusedByTarget : RunEnd::Completed);
         HttpReply reply;
         reply.status = exchange_->status();
         reply.headers = forwardedHeaders(exchange_->headers());
--- a/src/retry-budget.cc
+++ b/src/retry-budget.cc
@@ -24,7 +24,10 @@
     return true;
 }
 
-RetryRatio makeRetryRatio(const RetryRatioOptions& options) { return RetryRatio { options.burst }; }
+RetryRatio makeRetryRatio(const RetryRatioOptions& options)
+{
+    return RetryRatio { options.burst };
+}
 
 void noteFirstAttempt(RetryRatio& ratio, const RetryRatioOptions& options)
 {
@@ -41,20 +44,20 @@
 
 namespace {
 
-    bool isHelpedByAnotherTarget(Reason reason)
-    {
-        switch (reason) {
-        case Reason::Leaving:
-        case Reason::Unreachable:
-        case Reason::ConnectionLost:
-        case Reason::Truncated:
-        case Reason::TargetShed:
-        case Reason::TargetFailed:
-            return true;
-        default:
-            return false;
-        }
+bool isHelpedByAnotherTarget(Reason reason)
+{
+    switch (reason) {
+    case Reason::Leaving:
+    case Reason::Unreachable:
+    case Reason::ConnectionLost:
+    case Reason::Truncated:
+    case Reason::TargetShed:
+    case Reason::TargetFailed:
+        return true;
+    default:
+        return false;
     }
+}
 
 } // namespace
 
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -106,7 +106,10 @@
     return leftScore <= rightScore ? left : right;
 }
 
-void noteSent(RoutingState& state, const std::string& address) { ++state.targets[address].inFlight; }
+void noteSent(RoutingState& state, const std::string& address)
+{
+    ++state.targets[address].inFlight;
+}
 
 void noteEnd(RoutingState& state, const std::string& address, const AttemptSeen& seen, absl::Time now)
 {
--- a/standin/platform-main.cc
+++ b/standin/platform-main.cc
@@ -188,9 +188,9 @@
     }
     if (path == "/stats")
         return plain(200,
-            absl::StrCat("reads=", platform.counters.reads.load(), " writes=", platform.counters.writes.load(),
-                " watches=", platform.counters.watches.load(), " refused=", platform.counters.refused.load(),
-                "\n"));
+            absl::StrCat("reads=", platform.counters.reads.load(),
+                " writes=", platform.counters.writes.load(), " watches=", platform.counters.watches.load(),
+                " refused=", platform.counters.refused.load(), "\n"));
     return plain(404, "try /fault or /stats\n");
 }
 
--- a/standin/target-main.cc
+++ b/standin/target-main.cc
@@ -1,5 +1,5 @@
-// standin-target: a small stand-in for a target: slots, cold start, straggling, cancellation, deadlines, calls
-// on to another service, and a record of every execution by request id.
+// standin-target: a small stand-in for a target: slots, cold start, straggling, cancellation, deadlines,
+// calls on to another service, and a record of every execution by request id.
 #include "adapter/connection-pool.h"
 #include "adapter/http-server.h"
 #include "main/command-line.h"
@@ -187,7 +187,8 @@
     target.slots.release();
     const absl::MutexLock lock(&target.record.mutex);
     ++(isWorked ? target.record.completedCount : target.record.cancelledCount);
-    return isWhole ? textReply(200, answerBody(target, request)) : textReply(502, "a call further on failed\n");
+    return isWhole ? textReply(200, answerBody(target, request))
+                   : textReply(502, "a call further on failed\n");
 }
 
 std::string executions(Target& target)
@@ -279,9 +280,8 @@
     server.address = address;
     server.connectionLimit = static_cast<unsigned>(target.options.connections);
     server.idleTimeout = absl::Seconds(60);
-    auto port = HttpServer::start(server, [&target](HttpHead head) {
-        return std::make_unique<TargetSession>(target, std::move(head));
-    });
+    auto port = HttpServer::start(server,
+        [&target](HttpHead head) { return std::make_unique<TargetSession>(target, std::move(head)); });
     if (!port.ok()) {
         std::cerr << port.status() << "\n";
         return kExitFailed;
--- a/test/catalogue-test.cc
+++ b/test/catalogue-test.cc
@@ -40,8 +40,8 @@
         { "nothing to change", stored({ { "work/a", "1" } }, 3), 5, { { "work/a", "1" } }, 5, 0, {} },
         { "change on the newest", stored({ { "work/a", "1" } }, 3), 5, { { "work/a", "2" } }, 5, 1, {} },
         { "removal on the newest", stored({ { "work/a", "1" } }, 3), 5, {}, 5, 1, {} },
-        { "old checkout, entry changed since", stored({ { "work/a", "1" } }, 4), 5, { { "work/a", "0" } }, 4, 0,
-            { "work/a" } },
+        { "old checkout, entry changed since", stored({ { "work/a", "1" } }, 4), 5, { { "work/a", "0" } }, 4,
+            0, { "work/a" } },
         { "old checkout, another entry changed since",
             [] {
                 CatalogueDocument document = stored({ { "work/a", "1" }, { "work/b", "1" } }, 1);
@@ -49,7 +49,8 @@
                 return document;
             }(),
             9, { { "work/a", "2" }, { "work/b", "1" } }, 7, 1, {} },
-        { "old checkout does not know an entry added since", stored({ { "work/new", "1" } }, 8), 9, {}, 7, 0, {} },
+        { "old checkout does not know an entry added since", stored({ { "work/new", "1" } }, 8), 9, {}, 7, 0,
+            {} },
         { "old checkout removes what was changed since",
             [] {
                 CatalogueDocument document = stored({ { "work/a", "1" } }, 1);
@@ -57,10 +58,12 @@
                 return document;
             }(),
             9, {}, 7, 0, { "work/a" } },
-        { "old checkout brings back what was removed since", withRemoved("work/a", 8), 9, { { "work/a", "1" } }, 7,
-            0, { "work/a" } },
-        { "adds again what was removed before", withRemoved("work/a", 3), 9, { { "work/a", "1" } }, 7, 1, {} },
-        { "same change by both operators", stored({ { "work/a", "2" } }, 8), 9, { { "work/a", "2" } }, 7, 0, {} },
+        { "old checkout brings back what was removed since", withRemoved("work/a", 8), 9,
+            { { "work/a", "1" } }, 7, 0, { "work/a" } },
+        { "adds again what was removed before", withRemoved("work/a", 3), 9, { { "work/a", "1" } }, 7, 1,
+            {} },
+        { "same change by both operators", stored({ { "work/a", "2" } }, 8), 9, { { "work/a", "2" } }, 7, 0,
+            {} },
     };
     test::forEachRow(table, [](const ApplyRow& row) {
         const ApplyPlan plan = planApply(row.head, row.headVersion, row.wanted, row.basedOn, "apply");
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -79,7 +79,8 @@
 
 void sendText(int socket, const std::string& text)
 {
-    BOOST_REQUIRE_EQUAL(send(socket, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+    BOOST_REQUIRE_EQUAL(
+        send(socket, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
 }
 
 ExchangeRequest requestTo(const std::string& address)
@@ -261,7 +262,8 @@
 BOOST_AUTO_TEST_CASE(badInputGetsAClearAnswer)
 {
     const std::vector<RawRow> table {
-        { "oversized head", absl::StrCat("GET / HTTP/1.1\r\nHost: a\r\nX: ", std::string(40000, 'x'), "\r\n\r\n"),
+        { "oversized head",
+            absl::StrCat("GET / HTTP/1.1\r\nHost: a\r\nX: ", std::string(40000, 'x'), "\r\n\r\n"),
             "HTTP/1.1 431" },
         // The library closes the connection on a line that is no request at all.
         { "not a request", "nonsense\r\n\r\n", "" },
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -97,7 +97,8 @@
 BOOST_AUTO_TEST_CASE(suspectsGetWorkOnlyWhenNobodyElseIsLeft)
 {
     MembershipState state = stateOf("a");
-    mergeMembers(state, { member("b", 1, MemberStatus::Suspect), member("c", 1, MemberStatus::Leaving) }, kStart);
+    mergeMembers(
+        state, { member("b", 1, MemberStatus::Suspect), member("c", 1, MemberStatus::Leaving) }, kStart);
     BOOST_TEST(routableMembers(state, "ledger").size() == 1U);
     announceLeave(state, kStart);
     BOOST_REQUIRE_EQUAL(routableMembers(state, "ledger").size(), 1U);
@@ -134,6 +135,7 @@
     constexpr int kNodes = 64;
     std::vector<MembershipState> states;
     std::vector<Member> all;
+    all.reserve(kNodes);
     for (int index = 0; index < kNodes; ++index)
         all.push_back(member(absl::StrCat("10.0.0.", index, ":80"), 1, MemberStatus::Alive));
     for (const Member& self : all) {
--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "adapter/http-server.h"
-#include "node/caller-side.h"
 #include "node/call-wire.h"
+#include "node/caller-side.h"
 #include "node/node-state.h"
 #include "node/target-side.h"
 #include "standin/object-store.h"
@@ -118,8 +118,8 @@
 }
 
 /// Puts a catalogue of these entries in force: pairs of name and JSON.
-inline void apply(TestNode& node, const std::vector<std::pair<std::string, std::string>>& entries,
-    CatalogueVersion version)
+inline void apply(
+    TestNode& node, const std::vector<std::pair<std::string, std::string>>& entries, CatalogueVersion version)
 {
     std::string text;
     for (const auto& [name, value] : entries)
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -20,14 +20,15 @@
 /// A target that counts what it ran.
 class Target {
 public:
-    explicit Target(std::function<HttpReply(const HttpRequest&)> answer)
+    explicit Target(const std::function<HttpReply(const HttpRequest&)>& answer)
     {
         HttpServerOptions options;
         options.address = "127.0.0.1:0";
-        server = *HttpServer::start(options, wholeRequests(8U << 20, [this, answer](const HttpRequest& request) {
-            ++runs;
-            return answer(request);
-        }));
+        server
+            = *HttpServer::start(options, wholeRequests(8U << 20, [this, answer](const HttpRequest& request) {
+                  ++runs;
+                  return answer(request);
+              }));
     }
 
     std::atomic<int> runs { 0 };
@@ -37,7 +38,8 @@
 HttpReply answerOk(const HttpRequest& request)
 {
     HttpReply reply;
-    reply.body = absl::StrCat("id=", findHeader(request.head.headers, kRequestIdHeader), " bytes=", request.body.size());
+    reply.body = absl::StrCat(
+        "id=", findHeader(request.head.headers, kRequestIdHeader), " bytes=", request.body.size());
     return reply;
 }
 
@@ -70,7 +72,10 @@
     { "caller/default", R"({"owner":"o"})" },
 };
 
-std::string onceId(const std::string& unique) { return absl::StrCat("t", absl::ToUnixSeconds(absl::Now()), "-", unique); }
+std::string onceId(const std::string& unique)
+{
+    return absl::StrCat("t", absl::ToUnixSeconds(absl::Now()), "-", unique);
+}
 
 std::string outcomeOf(const absl::StatusOr<HttpAnswer>& answer)
 {
@@ -140,7 +145,8 @@
 {
     Pair pair(answerOk, answerOk);
     const std::string id = onceId("b");
-    BOOST_TEST(outcomeOf(call(pair.one, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, id } })) == "ok");
+    BOOST_TEST(
+        outcomeOf(call(pair.one, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, id } })) == "ok");
     const auto again = call(pair.two, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, id } });
     BOOST_TEST(outcomeOf(again) == "unknown");
     BOOST_TEST(reasonOf(again) == "duplicate");
@@ -174,7 +180,8 @@
     Pair pair(answerOk, answerOk);
     pair.platform.losesAnswers = true;
     const std::string id = onceId("e");
-    BOOST_TEST(outcomeOf(call(pair.one, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, id } })) == "ok");
+    BOOST_TEST(
+        outcomeOf(call(pair.one, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, id } })) == "ok");
     BOOST_TEST(outcomeOf(call(pair.two, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, id } }))
         == "unknown");
     BOOST_TEST(pair.runs() == 1);
@@ -192,7 +199,8 @@
         { "clock of the caller runs ahead", absl::StrCat("t", now + 1000, "-a") }, { "no dash", "t12345" } };
     Pair pair(answerOk, answerOk);
     test::forEachRow(table, [&](const IdRow& row) {
-        const auto answer = call(pair.one, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, row.id } });
+        const auto answer
+            = call(pair.one, pair.pool, { { kKindHeader, "book" }, { kRequestIdHeader, row.id } });
         BOOST_TEST(outcomeOf(answer) == "not-run");
         BOOST_TEST(reasonOf(answer) == "bad-request");
     });
@@ -235,9 +243,10 @@
         return reply;
     };
     Pair pair(echo, echo);
-    for (const std::size_t bytes : { std::size_t(0), std::size_t(1), std::size_t(65536), std::size_t(65537), large.size() }) {
-        const auto answer
-            = call(pair.one, pair.pool, { { kKindHeader, "read" } }, absl::string_view(large).substr(0, bytes));
+    for (const std::size_t bytes :
+        { std::size_t(0), std::size_t(1), std::size_t(65536), std::size_t(65537), large.size() }) {
+        const auto answer = call(
+            pair.one, pair.pool, { { kKindHeader, "read" } }, absl::string_view(large).substr(0, bytes));
         BOOST_REQUIRE(answer.ok());
         BOOST_TEST(answer->body.size() == bytes);
     }
@@ -314,7 +323,8 @@
     NodeState& node = pair.one.state;
     BOOST_TEST(!node.offerCatalogue({ "catalogue", "{\"entries\":{}}", 1 }));
     BOOST_TEST(!node.offerCatalogue({ "catalogue", "{\"entries\":", 2 }));
-    BOOST_TEST(!node.offerCatalogue({ "catalogue", R"({"entries":{"work/x":{"value":{"class":"odd"}}}})", 3 }));
+    BOOST_TEST(
+        !node.offerCatalogue({ "catalogue", R"({"entries":{"work/x":{"value":{"class":"odd"}}}})", 3 }));
     BOOST_TEST(node.catalogue()->version == 1U);
     BOOST_TEST(node.offerCatalogue({ "catalogue", "{\"entries\":{}}", 4 }));
     BOOST_TEST(!node.offerCatalogue({ "catalogue", "{\"entries\":{}}", 3 }));
--- a/test/retry-budget-test.cc
+++ b/test/retry-budget-test.cc
@@ -75,8 +75,8 @@
     BOOST_TEST(retries >= 1000 * options.retriesPerCall);
 }
 
-/// Every call of a tree fails or not as a bit of `faults` says, in the order in which they are sent. Each node
-/// retries while it has allowance, which is more than any real one does.
+/// Every call of a tree fails or not as a bit of `faults` says, in the order in which they are sent. Each
+/// node retries while it has allowance, which is more than any real one does.
 struct TreeRun {
     std::uint64_t faults;
     int width;
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -38,6 +38,7 @@
 std::vector<std::string> placesOf(const std::vector<Finding>& findings)
 {
     std::vector<std::string> places;
+    places.reserve(findings.size());
     for (const Finding& finding : findings)
         places.push_back(std::to_string(finding.line) + " " + finding.key);
     return places;
@@ -47,9 +48,12 @@
 {
     const std::vector<SettingsRow> table {
         { "complete, with comments",
-            "{\n// where it stands\n\"service\": \"s\", \"dataCentre\": \"d\",\n\"targetAddress\": \"127.0.0.1:1\" }", {} },
+            "{\n// where it stands\n\"service\": \"s\", \"dataCentre\": \"d\",\n\"targetAddress\": "
+            "\"127.0.0.1:1\" }",
+            {} },
         { "all at once",
-            "{\n\"service\": 5,\n\"dataCentre\": \"d\",\n\"peerAddress\": \"localhost:1\",\n\"targetAddress\": "
+            "{\n\"service\": 5,\n\"dataCentre\": \"d\",\n\"peerAddress\": "
+            "\"localhost:1\",\n\"targetAddress\": "
             "\"127.0.0.1:1\",\n\"leaveDelayMs\": -1,\n\"colour\": \"red\" }",
             { "2 service", "4 peerAddress", "6 leaveDelayMs", "7 colour" } },
         { "what must be given", "{ \"targetAddress\": \"127.0.0.1:1\" }", { "1 service", "1 dataCentre" } },
@@ -66,7 +70,8 @@
 
 BOOST_AUTO_TEST_CASE(theCommandLineOverridesTheFile)
 {
-    const TemporaryFile file(R"({"service":"s","dataCentre":"d","targetAddress":"127.0.0.1:1","leaveDelayMs":5})");
+    const TemporaryFile file(
+        R"({"service":"s","dataCentre":"d","targetAddress":"127.0.0.1:1","leaveDelayMs":5})");
     std::vector<Finding> findings;
     const NodeSettings settings
         = readNodeSettings(file.path, { "leaveDelayMs=7", "seedAddresses=[\"127.0.0.1:9\"]" }, findings);
@@ -93,7 +98,8 @@
     const std::vector<CatalogueRow> table {
         { "valid", R"({"basedOn":0,"entries":{"work/a":{"owner":"o","class":"bulk"}}})", {} },
         { "several",
-            "{\"entries\":{\n\"work/a\":{\"class\":\"top\",\"owner\":\"o\"},\n\"caller/b\":{\"weight\":-1},\n\"thing/c\":{}\n}}",
+            "{\"entries\":{\n\"work/a\":{\"class\":\"top\",\"owner\":\"o\"},\n\"caller/"
+            "b\":{\"weight\":-1},\n\"thing/c\":{}\n}}",
             { "3 caller/b.owner", "3 caller/b.weight", "4 thing/c", "2 work/a.class" } },
         { "no entries", "{}", { "1 entries" } },
         { "no class", R"({"entries":{"work/a":{"owner":"o"}}})", { "1 work/a.class" } },
