--- a/src/adapter/catalogue-json.cc
+++ b/src/adapter/catalogue-json.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/string_view.h"
 
 #include <limits>
+#include <regex>
 
 namespace jackdawwall {
 namespace {
@@ -202,6 +203,16 @@
     return catalogue;
 }
 
+std::string withBasedOn(const std::string& text, CatalogueVersion version)
+{
+    static const std::regex pattern("\"basedOn\"\\s*:\\s*([0-9]+)");
+    std::smatch match;
+    if (!std::regex_search(text, match, pattern))
+        return text;
+    return absl::StrCat(text.substr(0, static_cast<std::size_t>(match.position(1))), version,
+        text.substr(static_cast<std::size_t>(match.position(1) + match.length(1))));
+}
+
 std::string writeCatalogueFile(const CatalogueDocument& document, CatalogueVersion version)
 {
     Json::Value root(Json::objectValue);
--- a/src/main/ctl-catalogue.cc
+++ b/src/main/ctl-catalogue.cc
@@ -12,7 +12,6 @@
 #include <fstream>
 #include <iostream>
 #include <random>
-#include <regex>
 
 namespace jackdawwall {
 namespace {
@@ -112,10 +111,7 @@
 {
     std::vector<Finding> findings;
     const std::string text = readFile(path, findings);
-    const std::regex pattern("(\"basedOn\"\\s*:\\s*)[0-9]+");
-    const std::string updated = std::regex_replace(
-        text, pattern, absl::StrCat("$1", version), std::regex_constants::format_first_only);
-    std::ofstream(path, std::ios::binary) << updated;
+    std::ofstream(path, std::ios::binary) << withBasedOn(text, version);
 }
 
 int reportAccepted(CtlContext& context, const ApplyPlan& plan, CatalogueVersion version)
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -122,6 +122,24 @@
     }
 }
 
+struct BasedOnRow {
+    const char* name;
+    std::string text;
+    CatalogueVersion version;
+    std::string expected;
+};
+
+BOOST_AUTO_TEST_CASE(anApplyWritesItsVersionIntoTheFile)
+{
+    const std::vector<BasedOnRow> table {
+        { "one digit", "{ \"basedOn\": 0, // kept\n\"x\": 0 }", 9, "{ \"basedOn\": 9, // kept\n\"x\": 0 }" },
+        { "many digits", "{\"basedOn\":12}", 345678, "{\"basedOn\":345678}" },
+        { "none", "{}", 9, "{}" },
+    };
+    test::forEachRow(table,
+        [](const BasedOnRow& row) { BOOST_TEST(withBasedOn(row.text, row.version) == row.expected); });
+}
+
 BOOST_AUTO_TEST_CASE(aDocumentSurvivesStorage)
 {
     const ApplyPlan plan = planApply({}, 7, { { "work/a", R"({"class":"bulk","owner":"o"})" } }, 7, "id");
