The cold limit stops doubling by a clear sign; overload of one target alone is tried elsewhere

(1) The first 32 completions are the short ones, so the base was low, the cold start ended at 6 of 100 slots and crawled. 100 samples now, and doubling ends at a slowdown of 1.8; while it doubles the base is learned only at the initial limit, since half of a limit far above the slots proves nothing (the test at 100 slots ran away to 2,000, red before). (2) A straggler's refusals were never tried elsewhere; they are, when the path on average admits the rank. (3) Usual cost and slowness drifted apart by a factor of 24; the usual cost is now a plain long mean.

--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -29,7 +29,7 @@
 /// Times of one work kind in the target, in seconds.
 struct KindCost {
     double base = 0; ///< Mean own time without queueing; 0 until the first sample.
-    double usual = 0; ///< Whole time, freed of the target's momentary slowness.
+    double usual = 0; ///< Mean whole time over many calls.
     double count = 0; ///< Samples behind base, capped.
 };
 
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -113,6 +113,14 @@
     return sending;
 }
 
+/// True when the targets of the path would serve this rank on average: then one of them straggles.
+bool isOnlyThisTargetOverloaded(
+    const NodeDecisions& decisions, const OutboundCall& call, const AttemptEnd& end, absl::Time now)
+{
+    return end.outcome == Outcome::NotRun && end.reason == Reason::Overload && end.nextHopFailed
+        && call.context.rank < pathLevel(decisions.routing, call.path, now);
+}
+
 AttemptEnd worseOf(const AttemptEnd& left, const AttemptEnd& right)
 {
     return right.outcome >= left.outcome ? right : left;
@@ -218,7 +226,9 @@
 
 bool mayRetry(NodeDecisions& decisions, OutboundCall& call, const AttemptEnd& end, absl::Time now)
 {
-    if (!isRetryUseful(end, call.context.isRepeatable) || now >= call.context.deadline)
+    const bool isUseful = isRetryUseful(end, call.context.isRepeatable)
+        || isOnlyThisTargetOverloaded(decisions, call, end, now);
+    if (!isUseful || now >= call.context.deadline)
         return false;
     if (call.allowance.remaining == 0 || !takeRetry(decisions.retries))
         return false;
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -7,12 +7,13 @@
 namespace {
 
 constexpr double kBaseSampleCap = 100;
-constexpr double kFirstSamples = 32;
+constexpr double kFirstSamples = 100;
+constexpr double kColdTolerance = 1.8;
 constexpr double kNoiseWidth = 1.5;
 constexpr double kMeanWeight = 0.1;
 constexpr double kSlownessWeight = 0.05;
 constexpr double kMostSlowness = 100;
-constexpr double kUsualWeight = 0.02;
+constexpr double kUsualWeight = 0.005;
 constexpr double kDipShare = 0.45;
 constexpr double kDipStartShare = 0.3;
 constexpr int kFewestDipStarts = 8;
@@ -32,12 +33,18 @@
     cost.base += (seconds - cost.base) / cost.count;
 }
 
+/// A limit that still doubles may already be far above the slots: half of it proves nothing.
+double quietLimit(const LimitState& state, const LimitOptions& options)
+{
+    return state.hasSeenQueueing ? options.quietShare * steadyLimit(state) : options.initial;
+}
+
 void learnUsual(LimitState& state, KindCost& cost, double seconds)
 {
     if (cost.usual == 0)
         cost.usual = seconds / state.slowness;
     state.slowness += kSlownessWeight * (std::min(kMostSlowness, seconds / cost.usual) - state.slowness);
-    cost.usual += kUsualWeight * (seconds / state.slowness - cost.usual);
+    cost.usual += kUsualWeight * (seconds - cost.usual);
     state.meanTime += kMeanWeight * (seconds - state.meanTime);
 }
 
@@ -90,15 +97,18 @@
 void judge(LimitState& state, const LimitOptions& options)
 {
     const double slowdown = slowdownOf(state.window);
-    const double allowed
-        = state.hasSeenQueueing ? options.tolerance : believedSlowdown(state.window, options);
+    // Early calls end early, so the first base is low; doubling past the slots shows clearly all the same.
+    const double allowed = state.hasSeenQueueing
+        ? options.tolerance
+        : std::max(kColdTolerance, believedSlowdown(state.window, options));
     state.proven *= kProvenDecay;
     if (slowdown > allowed) {
         state.hasSeenQueueing = true;
         shrink(state, options, std::max(kStrongestDecrease, options.tolerance / slowdown));
         return;
     }
-    state.proven = std::max(state.proven, static_cast<double>(state.window.peakInFlight));
+    if (slowdown <= options.tolerance)
+        state.proven = std::max(state.proven, static_cast<double>(state.window.peakInFlight));
     grow(state, options);
 }
 
@@ -148,7 +158,7 @@
     KindCost& cost = state.costs[key];
     const double seconds = absl::ToDoubleSeconds(time.own);
     const double limit = steadyLimit(state);
-    if (cost.count < kFirstSamples || inFlightAtStart <= options.quietShare * limit)
+    if (cost.count < kFirstSamples || inFlightAtStart <= quietLimit(state, options))
         learnBase(cost, seconds);
     learnUsual(state, cost, absl::ToDoubleSeconds(time.whole));
     // The call itself comes on top of those in flight at its start.
