Limit judged by the mean slowdown of calls, long and short alike

Cause: with uploads of 200 ms beside reads of 5 ms, the ratio of sums was moved by a dozen uploads, and the limit swung between 65 and 135 on 100 slots. Each call now counts alike. Left: the demand of a caller that sends refused requests again to other nodes is overestimated, which trims short reads too early (seen in the trace: 140 estimated, 50 true).

--- a/bench/reach-jackdaw.cc
+++ b/bench/reach-jackdaw.cc
@@ -151,8 +151,11 @@
                                 << " inflight=" << inFlight(admission)
                                 << " waiting=" << admission.waiting.size()
                                 << " dip=" << admission.limit.isDipping
-                                << " samples=" << admission.limit.window.samples
-                                << " slow=" << admission.limit.window.timeSum / admission.limit.window.baseSum
+                                << " long=" << admission.longInFlight
+                                << " short-demand=" << admission.shortDemand
+                                << " slowness=" << admission.limit.slowness
+                                << " mean=" << admission.limit.meanTime << " samples=" << admission.limit.window.samples
+                                << " slow=" << admission.limit.window.slowdownSum
                                 << " budget=" << admission.share.budget;
             for (const auto& [key, demand] : admission.share.demands)
                 *fleet_.model.trace << " " << toText(key.priority) << "=" << demand.fraction << "/"
--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -35,8 +35,7 @@
 
 /// Completions since the last judgement.
 struct LimitWindow {
-    double timeSum = 0; ///< Own time, seconds.
-    double baseSum = 0; ///< Seconds.
+    double slowdownSum = 0; ///< Own time over the kind's base; each call counts alike, long or short.
     int samples = 0;
     int targetRefusals = 0;
     int peakInFlight = 0;
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double kBaseSampleCap = 100;
+constexpr double kShortestBaseSeconds = 1e-6;
 constexpr double kFirstSamples = 100;
 constexpr double kColdTolerance = 1.8;
 constexpr double kNoiseWidth = 1.5;
@@ -85,7 +86,7 @@
 
 double slowdownOf(const LimitWindow& window)
 {
-    return window.baseSum > 0 ? window.timeSum / window.baseSum : 1;
+    return window.samples > 0 ? window.slowdownSum / window.samples : 1;
 }
 
 /// Slowdown that chance explains less and less, the more samples there are.
@@ -164,8 +165,7 @@
     // The call itself comes on top of those in flight at its start.
     if (inFlightAtStart + 1 < options.fullShare * std::floor(limit))
         return;
-    state.window.timeSum += seconds;
-    state.window.baseSum += cost.base;
+    state.window.slowdownSum += seconds / std::max(cost.base, kShortestBaseSeconds);
     ++state.window.samples;
 }
 
