--- a/bench/cost-main.cc
+++ b/bench/cost-main.cc
@@ -37,7 +37,8 @@
 Member makeMember(int index)
 {
     Member member;
-    member.peerAddress = absl::StrCat("10.", index / 65536, ".", index / 256 % 256, ".", index % 256, ":7002");
+    member.peerAddress
+        = absl::StrCat("10.", index / 65536, ".", index / 256 % 256, ".", index % 256, ":7002");
     member.incarnation = 1;
     member.service = absl::StrCat("service-", index % 260);
     member.dataCentre = absl::StrCat("centre-", index % 27);
@@ -47,7 +48,8 @@
 }
 
 /// Both sides of one call: caller's node and target's node.
-void passCall(NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, CallId id, absl::Time now)
+void passCall(
+    NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, CallId id, absl::Time now)
 {
     OutboundCall call = *openCall(decisions, catalogue, ask, now);
     if (refuseEarly(decisions, call, now) != Reason::None)
--- a/bench/reach-jackdaw.cc
+++ b/bench/reach-jackdaw.cc
@@ -150,11 +150,11 @@
                                 << " limit=" << currentLimit(admission.limit)
                                 << " inflight=" << inFlight(admission)
                                 << " waiting=" << admission.waiting.size()
-                                << " dip=" << admission.limit.isDipping
-                                << " long=" << admission.longInFlight
+                                << " dip=" << admission.limit.isDipping << " long=" << admission.longInFlight
                                 << " short-demand=" << admission.shortDemand
                                 << " slowness=" << admission.limit.slowness
-                                << " mean=" << admission.limit.meanTime << " samples=" << admission.limit.window.samples
+                                << " mean=" << admission.limit.meanTime
+                                << " samples=" << admission.limit.window.samples
                                 << " slow=" << admission.limit.window.slowdownSum
                                 << " budget=" << admission.share.budget;
             for (const auto& [key, demand] : admission.share.demands)
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -268,7 +268,10 @@
     return alive.empty() ? suspects : alive;
 }
 
-std::uint64_t memberDigest(const MembershipState& state) { return state.digest; }
+std::uint64_t memberDigest(const MembershipState& state)
+{
+    return state.digest;
+}
 
 std::vector<Member> allMembers(const MembershipState& state)
 {
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -8,16 +8,8 @@
 RUN=$(mktemp -d)
 . support/fleet.sh
 trap 'stop_fleet; rm -rf "$RUN"' EXIT
-BROKEN=0
-
-check() { # check TEXT CONDITION...
-  local text=$1
-  shift
-  if "$@"; then echo "held: $text"; else echo "BROKEN: $text"; BROKEN=1; fi
-}
 # measure FILE NAME PHASE KIND: value of one line.
 measure() { sed -n "s/^measure=$2 phase=$3 kind=$4 .*value=\([^ ]*\) .*/\1/p" "$1"; }
-at_least() { awk -v a="$1" -v b="$2" 'BEGIN { exit !(a >= b) }'; }
 
 NAMES="h1 h2 h3 k1 k2 k3"
 service_of() { case $1 in h*) echo hist-desk ;; *) echo keeper-book ;; esac; }
--- a/support/fault-run.sh
+++ b/support/fault-run.sh
@@ -7,14 +7,6 @@
 RUN=$(mktemp -d)
 . support/fleet.sh
 trap 'stop_fleet; rm -rf "$RUN"' EXIT
-BROKEN=0
-
-check() {
-  local text=$1
-  shift
-  if "$@"; then echo "held: $text"; else echo "BROKEN: $text"; BROKEN=1; fi
-}
-at_least() { awk -v a="$1" -v b="$2" 'BEGIN { exit !(a >= b) }'; }
 share() { sed -n "s/^measure=whole-share phase=[^ ]* kind=$2 .*value=\([^ ]*\) .*/\1/p" "$1"; }
 ctl() { "$BIN/jackdawctl" --platform "$PLATFORM" "$@"; }
 fault() { curl -s "http://$PLATFORM_CONTROL/fault?$1" >/dev/null; }
--- a/support/fleet-bench.sh
+++ b/support/fleet-bench.sh
@@ -19,14 +19,8 @@
 
 measure_fleet() {
   local size=$1 n
-  NAMES=()
   start_platform || return 1
-  for n in $(seq "$size"); do
-    NAMES+=("n$n")
-    echo "ready address=127.0.0.1:9" >"$RUN/target-n$n.out"
-    start_node "n$n" "service-$((n % 8))" "centre-$((n % 3))" || return 1
-  done
-  await_members "$size" "${NAMES[@]}" || return 1
+  start_idle_nodes "$size" || return 1
   sleep 3
   local bytes calls ticks
   bytes=$(sum_of control_bytes) calls=$(platform_calls) ticks=$(sum_of cpu_ticks)
--- a/support/fleet.sh
+++ b/support/fleet.sh
@@ -83,3 +83,27 @@
     done
   done
 }
+
+# Checks of promises: BROKEN becomes 1 when one does not hold.
+BROKEN=0
+
+# check TEXT CONDITION...
+check() {
+  local text=$1
+  shift
+  if "$@"; then echo "held: $text"; else echo "BROKEN: $text"; BROKEN=1; fi
+}
+
+at_least() { awk -v a="$1" -v b="$2" 'BEGIN { exit !(a >= b) }'; }
+
+# start_idle_nodes COUNT: nodes without targets, for what control costs; their names are in NAMES.
+start_idle_nodes() {
+  local n
+  NAMES=()
+  for n in $(seq "$1"); do
+    NAMES+=("n$n")
+    echo "ready address=127.0.0.1:9" >"$RUN/target-n$n.out"
+    start_node "n$n" "service-$((n % 8))" "centre-$((n % 3))" || return 1
+  done
+  await_members "$1" "${NAMES[@]}"
+}
--- a/support/wire-bytes.sh
+++ b/support/wire-bytes.sh
@@ -8,13 +8,7 @@
 . support/fleet.sh
 trap 'stop_fleet; rm -rf "$RUN"' EXIT
 start_platform || exit 1
-NAMES=()
-for n in $(seq "$SIZE"); do
-  NAMES+=("n$n")
-  echo "ready address=127.0.0.1:9" >"$RUN/target-n$n.out"
-  start_node "n$n" "service-$((n % 8))" "centre-$((n % 3))" || exit 1
-done
-await_members "$SIZE" "${NAMES[@]}" || exit 1
+start_idle_nodes "$SIZE" || exit 1
 sleep 5
 sent() { awk '/lo:/ { print $10 }' /proc/net/dev; }
 before=$(sent)
--- /dev/null
+++ b/test/hedging-test.cc
@@ -0,0 +1,28 @@
+#include "jackdawwall/hedging.h"
+
+#include "test/table.h"
+
+namespace jackdawwall {
+namespace {
+
+BOOST_AUTO_TEST_CASE(hedgesOnlyInsideShareAndAllowance)
+{
+    HedgeState state = makeHedgeState({});
+    BOOST_TEST((hedgeDelay(state, 1) == absl::InfiniteDuration()));
+    for (int answer = 0; answer < 2000; ++answer)
+        noteAnswer(state, 1, absl::Milliseconds(answer % 20 == 0 ? 50 : 10));
+    BOOST_TEST((hedgeDelay(state, 1) >= absl::Milliseconds(9)));
+    BOOST_TEST((hedgeDelay(state, 1) <= absl::Milliseconds(60)));
+    Allowance none;
+    BOOST_TEST(!takeHedge(state, none));
+    int hedges = 0;
+    for (int call = 0; call < 1000; ++call) {
+        Allowance allowance { 1 };
+        noteAnswer(state, 1, absl::Milliseconds(10));
+        hedges += takeHedge(state, allowance) ? 1 : 0;
+    }
+    BOOST_TEST(hedges <= 1000 * 0.05 + 20);
+}
+
+} // namespace
+} // namespace jackdawwall
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -151,7 +151,8 @@
 BOOST_AUTO_TEST_CASE(theDigestIsTheSameWhateverWayAViewCameAbout)
 {
     MembershipState longWay = stateOf("a");
-    mergeMembers(longWay, { member("b", 1, MemberStatus::Alive), member("c", 1, MemberStatus::Dead) }, kStart);
+    mergeMembers(
+        longWay, { member("b", 1, MemberStatus::Alive), member("c", 1, MemberStatus::Dead) }, kStart);
     noteMissedHeartbeat(longWay, "b", kStart);
     noteMissedHeartbeat(longWay, "b", kStart);
     noteHeartbeat(longWay, "b", 0, kStart);
--- /dev/null
+++ b/test/rate-limit-test.cc
@@ -0,0 +1,36 @@
+#include "jackdawwall/rate-limit.h"
+
+#include "test/table.h"
+
+#include <vector>
+
+namespace jackdawwall {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+struct RateRow {
+    const char* name;
+    double limit;
+    int calls; ///< In 10 s.
+    int least;
+    int most;
+};
+
+BOOST_AUTO_TEST_CASE(holdsACallersLimit)
+{
+    const std::vector<RateRow> table { { "below", 100, 500, 500, 500 },
+        { "ten times", 100, 10000, 1000, 1051 }, { "no limit", 0, 10000, 10000, 10000 },
+        { "less than one a second", 0.5, 1000, 5, 6 } };
+    test::forEachRow(table, [](const RateRow& row) {
+        RateLimitState state;
+        int taken = 0;
+        for (int call = 0; call < row.calls; ++call)
+            taken += takeCall(state, 1, row.limit, kStart + absl::Seconds(10) * call / row.calls) ? 1 : 0;
+        BOOST_TEST(taken >= row.least);
+        BOOST_TEST(taken <= row.most);
+    });
+}
+
+} // namespace
+} // namespace jackdawwall
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -136,8 +136,8 @@
         { "many digits", "{\"basedOn\":12}", 345678, "{\"basedOn\":345678}" },
         { "none", "{}", 9, "{}" },
     };
-    test::forEachRow(table,
-        [](const BasedOnRow& row) { BOOST_TEST(withBasedOn(row.text, row.version) == row.expected); });
+    test::forEachRow(
+        table, [](const BasedOnRow& row) { BOOST_TEST(withBasedOn(row.text, row.version) == row.expected); });
 }
 
 BOOST_AUTO_TEST_CASE(aDocumentSurvivesStorage)
