Bookings are refused by estimate only when they clearly do not fit; division begins at twice the wait

Cause: in the surge of ten times the top class, 0.8 of the capacity, was refused at the first node: its demand is an estimate with noise, and a few percent too much trimmed it while lower classes had nothing anyway. The first class now has a headroom of 1.3 and its queue decides the rest. At 0.8 load, waits of one target wait started a division by chance, so recovery was sometimes never seen; division now begins at two.

--- a/src/fair-share.cc
+++ b/src/fair-share.cc
@@ -11,6 +11,8 @@
 constexpr double kDemandWeight = 0.3;
 constexpr double kLeastDemandWeight = 0.05;
 constexpr int kEnoughArrivals = 10;
+constexpr double kBeginWaitTargets = 2;
+constexpr double kFirstClassHeadroom = 1.3;
 constexpr double kFillStep = 0.1;
 constexpr double kLeastFill = 0.5;
 constexpr double kMostFill = 1.3;
@@ -99,8 +101,11 @@
 
 void divideAll(ShareState& state)
 {
-    double budget = state.budget;
-    for (std::size_t index = 0; index < kPriorityCount; ++index)
+    // The first class is refused by estimate only when it clearly does not fit; the queue decides the rest.
+    const double kept = state.budget * kFirstClassHeadroom;
+    const double used = kept - divideClass(state, Priority::Critical, kept);
+    double budget = std::max(0.0, state.budget - used);
+    for (std::size_t index = 1; index < kPriorityCount; ++index)
         budget = divideClass(state, static_cast<Priority>(index), budget);
 }
 
@@ -144,7 +149,7 @@
 void divideCapacity(ShareState& state, const ShareOptions& options, const ShareWindow& window)
 {
     updateDemands(state, absl::ToDoubleSeconds(window.length));
-    if (window.wait > window.waitTarget)
+    if (window.wait > kBeginWaitTargets * window.waitTarget)
         state.isDividing = true;
     if (!state.isDividing)
         return;
