--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -14,6 +14,7 @@
 std::vector<Candidate> candidates(int count)
 {
     std::vector<Candidate> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         list.push_back({ absl::StrCat("t", index), true });
     return list;
