Each gate of the static baseline has its own limit

Cause: found on reading the change again: the limit stood once for all services and was set by whichever call arrived last, so a gate could be opened by another service's limit. It now belongs to the gate.

--- a/bench/reach-plain.cc
+++ b/bench/reach-plain.cc
@@ -10,9 +10,9 @@
         , hasLimit_(hasLimit)
         , generator_(seed)
     {
-        for (const auto& targets : fleet.targets_) {
-            for (std::size_t index = 0; index < targets.size(); ++index)
-                gates_.emplace_back();
+        for (const ServiceModel& service : fleet.model.services) {
+            for (int index = 0; index < service.targets; ++index)
+                gates_.push_back({ service.slots, 0, {} });
         }
     }
 
@@ -23,6 +23,7 @@
 
     /// A fixed limit with a queue in order of arrival.
     struct Gate {
+        int limit = 0;
         int running = 0;
         std::deque<std::function<void()>> queue;
     };
@@ -66,13 +67,12 @@
         if (static_cast<int>(gate.queue.size()) >= service.connections)
             return answer(false);
         gate.queue.push_back(pass);
-        limit_ = service.slots;
         openGate(gate);
     }
 
     void openGate(Gate& gate)
     {
-        while (gate.running < limit_ && !gate.queue.empty()) {
+        while (gate.running < gate.limit && !gate.queue.empty()) {
             const std::function<void()> pass = std::move(gate.queue.front());
             gate.queue.pop_front();
             pass();
@@ -102,7 +102,6 @@
     const bool hasLimit_;
     std::mt19937_64 generator_;
     std::deque<Gate> gates_;
-    int limit_ = 0;
 };
 
 std::unique_ptr<Reach> makePlainReach(Fleet& fleet, bool hasLimit, std::uint64_t seed)
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -9,7 +9,6 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -296,20 +295,12 @@
     shared_->isClosing = true;
 }
 
-void HttpServer::stopAccepting()
-{
-    if (daemon_ != nullptr && quiescedSocket_ < 0)
-        quiescedSocket_ = MHD_quiesce_daemon(daemon_);
-}
-
 void HttpServer::stop()
 {
     if (daemon_ == nullptr)
         return;
     MHD_stop_daemon(daemon_);
     daemon_ = nullptr;
-    if (quiescedSocket_ >= 0)
-        close(quiescedSocket_);
 }
 
 HttpServer::Opener wholeRequests(
--- a/src/adapter/http-server.h
+++ b/src/adapter/http-server.h
@@ -74,8 +74,6 @@
     std::uint64_t begun() const;
     /// Answers carry "Connection: close" from now on.
     void closeAfterAnswers();
-    /// Takes no new connections; those open are served on.
-    void stopAccepting();
     /// Ends the server and joins its threads.
     void stop();
 
@@ -88,7 +86,6 @@
     std::unique_ptr<Shared> shared_;
     MHD_Daemon* daemon_;
     std::string address_;
-    int quiescedSocket_ = -1;
 };
 
 /// Whole request for a handler that needs no streaming.
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -82,8 +82,7 @@
 {
     std::vector<RingPoint> ring;
     for (const auto& [address, record] : state.members) {
-        if (address == state.self || record.member.status == MemberStatus::Alive
-            || record.member.status == MemberStatus::Suspect)
+        if (address == state.self || isCountedAlive(record.member))
             ring.push_back({ mixBits(stableHash(address)), &record.member });
     }
     std::sort(ring.begin(), ring.end(),
--- a/standin/target-main.cc
+++ b/standin/target-main.cc
@@ -30,7 +30,6 @@
     std::string service;
     int slots = 10;
     int connections = 300;
-    int connectionCostMs = 0;
     int serviceMs = 10;
     int coldStartMs = 0; ///< Works at a quarter of its speed this long.
     std::vector<std::string> kindTimes; ///< "KIND:MS".
