Thin whole path on the users' platform: a node on one event loop

Change: src/relay, a node on one Boost.Asio loop with Beast as codec (server, kept upstream connections, gate beside the target, callers' side, membership over JSON messages, store duty), ports for store, configuration and heartbeats, and platform/, which translates. Pure decisions new: route table, target lifetime, arrival budget.

--- /dev/null
+++ b/include/jackdawwall/arrival-budget.h
@@ -0,0 +1,33 @@
+/// Bound on repeated arrivals at the targets of a service, kept by the node beside each target. In any window
+///     repeats <= ratio x first arrivals + extra
+/// over all targets of the service, as each node keeps its share of `extra` and its own ratio.
+#pragma once
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <deque>
+
+namespace jackdawwall {
+
+struct ArrivalBudgetOptions {
+    double ratio = 0.1; ///< Repeats per first arrival.
+    double extra = 10; ///< Repeats per window beside the ratio, over all targets of the service.
+    absl::Duration window = absl::Seconds(10);
+    double safety = 0.7; ///< Share of the bound that is used; the rest covers nodes that restart and forget.
+};
+
+/// Arrivals of the last window.
+struct ArrivalBudget {
+    std::deque<absl::Time> firsts;
+    std::deque<absl::Time> repeats;
+};
+
+/// Notes the first arrival of a request.
+void noteFirstArrival(ArrivalBudget& budget, const ArrivalBudgetOptions& options, absl::Time now);
+
+/// Takes a repeat; false when it would break the share of a node among `targets` of the service.
+[[nodiscard]] bool takeRepeat(
+    ArrivalBudget& budget, const ArrivalBudgetOptions& options, std::size_t targets, absl::Time now);
+
+} // namespace jackdawwall
--- a/include/jackdawwall/membership.h
+++ b/include/jackdawwall/membership.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "jackdawwall/core.h"
+#include "jackdawwall/target-lifetime.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/strings/string_view.h"
@@ -36,6 +37,9 @@
     std::string dataCentre;
     std::string controlAddress;
     std::string operatorAddress;
+    bool isServing = true; ///< Its target takes new work.
+    std::string leftTarget; ///< Id of the newest lifetime of its target that is known to have left.
+    std::uint64_t leftStartedAt = 0; ///< Start of that lifetime, Unix milliseconds.
 
     friend bool operator==(const Member&, const Member&) = default;
 };
@@ -80,6 +84,17 @@
 /// Announces that this node leaves.
 void announceLeave(MembershipState& state, absl::Time now);
 
+/// What a node says of itself.
+struct OwnRecord {
+    MemberStatus status = MemberStatus::Alive;
+    bool isServing = false; ///< The own target takes new work.
+    std::optional<Lifetime> left; ///< Newest lifetime of the target that left.
+    std::uint64_t leastIncarnation = 0;
+};
+
+/// Changes this node's own record under a higher incarnation. Does nothing when nothing is new.
+void setOwnRecord(MembershipState& state, const OwnRecord& record, absl::Time now);
+
 /// Members that this node talks to: successors on a ring of hashes and members at doubling distances, so
 /// that news crosses n members in about log2(n) rounds.
 std::vector<Member> chooseNeighbours(const MembershipState& state, std::size_t successors);
--- a/src/adapter/log.cc
+++ b/src/adapter/log.cc
@@ -87,7 +87,7 @@
     processName() = options.process;
     spdlog::init_thread_pool(kQueueLength, 1);
     if (options.path.empty())
-        spdlog::set_default_logger(spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("jackdawwall"));
+        spdlog::set_default_logger(spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("jackdawwall"));
     else
         spdlog::set_default_logger(
             spdlog::create_async_nb<spdlog::sinks::basic_file_sink_mt>("jackdawwall", options.path));
--- a/src/adapter/log.h
+++ b/src/adapter/log.h
@@ -25,7 +25,7 @@
     std::string value;
 };
 
-/// Where the events of this process go. `path` empty means standard error.
+/// Where the events of this process go. `path` empty means standard output.
 struct LogOptions {
     std::string process; ///< Name of this process in each line.
     std::string path;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -167,6 +167,22 @@
     setStatus(state, state.self, MemberStatus::Leaving, now);
 }
 
+void setOwnRecord(MembershipState& state, const OwnRecord& record, absl::Time now)
+{
+    Member self = selfRecord(state).member;
+    const Member before = self;
+    self.status = record.status;
+    self.isServing = record.isServing;
+    if (record.left) {
+        self.leftTarget = record.left->id;
+        self.leftStartedAt = record.left->startedAt;
+    }
+    if (self == before && record.leastIncarnation <= self.incarnation)
+        return;
+    self.incarnation = std::max(self.incarnation + 1, record.leastIncarnation);
+    store(state, self, now);
+}
+
 std::vector<Member> chooseNeighbours(const MembershipState& state, std::size_t successors)
 {
     const std::vector<RingPoint> ring = ringOf(state);
@@ -257,7 +273,7 @@
     std::vector<Member> alive;
     std::vector<Member> suspects;
     for (const auto& [address, record] : state.members) {
-        if (record.member.service != service)
+        if (record.member.service != service || !record.member.isServing)
             continue;
         if (record.member.status == MemberStatus::Alive)
             alive.push_back(record.member);
--- /dev/null
+++ b/src/relay/http-listener.h
@@ -0,0 +1,82 @@
+/// HTTP server on the event loop: kept and pipelined connections, answers in the order of their requests, and
+/// news of a caller that left while it waits.
+#pragma once
+
+#include "relay/message.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace jackdawwall::relay {
+
+class HttpSession;
+
+/// A request that waits for its answer.
+struct Incoming {
+    Request request;
+    absl::Time receivedAt; ///< When its last byte was read.
+    asio::ip::address remote;
+    std::function<void()> onAbandoned; ///< Called when the caller left before the answer.
+    std::function<void()> onSettled; ///< Called once when it was answered or abandoned.
+
+    /// Sends the answer; does nothing after the caller left or when it was answered.
+    void answer(Response response);
+
+    std::weak_ptr<HttpSession> session;
+    std::optional<Response> response;
+    bool isDispatched = false;
+    bool isDone = false;
+};
+
+using IncomingPtr = std::shared_ptr<Incoming>;
+using RequestHandler = std::function<void(const IncomingPtr&)>;
+
+struct ListenerLimits {
+    std::uint32_t headerBytes = 16U << 10;
+    std::uint64_t bodyBytes = 64ULL << 20;
+    absl::Duration headerTime = absl::Seconds(3);
+    absl::Duration idleTime = absl::Seconds(15);
+    std::size_t sessions = 4096;
+};
+
+class HttpListener {
+public:
+    /// Binds and listens; throws boost::system::system_error when the address can't be bound.
+    HttpListener(asio::io_context& loop, const std::string& address, RequestHandler handler);
+    ~HttpListener();
+    HttpListener(const HttpListener&) = delete;
+    HttpListener& operator=(const HttpListener&) = delete;
+
+    void setLimits(const ListenerLimits& limits) { limits_ = limits; }
+    /// From now on each answer ends its connection.
+    void startClosing();
+    /// Closes the connections that wait for no answer.
+    void closeIdle();
+    std::size_t sessionCount() const { return sessions_.size(); }
+    /// Requests read and not yet answered.
+    std::size_t openRequests() const;
+    unsigned short port() const { return acceptor_.local_endpoint().port(); }
+
+private:
+    friend class HttpSession;
+
+    void accept();
+    void sweep();
+
+    asio::io_context& loop_;
+    Tcp::acceptor acceptor_;
+    asio::steady_timer sweepTimer_;
+    RequestHandler handler_;
+    ListenerLimits limits_;
+    bool isClosing_ = false;
+    std::unordered_set<std::shared_ptr<HttpSession>> sessions_;
+};
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/http-session.cc
@@ -0,0 +1,304 @@
+#include "relay/http-session.h"
+
+#include <boost/asio/write.hpp>
+
+namespace jackdawwall::relay {
+namespace {
+
+constexpr std::size_t kReadBytes = 16U << 10;
+/// Unparsed bytes held for one connection.
+constexpr std::size_t kBufferBytes = 64U << 10;
+/// Requests of one connection that are worked on at once.
+constexpr std::size_t kPipelined = 16;
+/// Time for the caller to close after the last answer.
+constexpr absl::Duration kLingerTime = absl::Seconds(2);
+/// Time for a caller to take in an answer.
+constexpr absl::Duration kWriteTime = absl::Seconds(20);
+constexpr unsigned kPayloadTooLarge = 413;
+
+bool mayOverlap(const Incoming& incoming)
+{
+    const http::verb method = incoming.request.method();
+    return method == http::verb::get || method == http::verb::head;
+}
+
+http::status statusOf(beast::error_code error)
+{
+    if (error == http::error::body_limit)
+        return http::int_to_status(kPayloadTooLarge);
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return http::status::request_header_fields_too_large;
+    return http::status::bad_request;
+}
+
+} // namespace
+
+void Incoming::answer(Response given)
+{
+    if (isDone)
+        return;
+    isDone = true;
+    onAbandoned = nullptr;
+    response = std::move(given);
+    if (onSettled)
+        std::exchange(onSettled, nullptr)();
+    if (const auto held = session.lock())
+        held->flush();
+}
+
+HttpSession::HttpSession(HttpListener& listener, Tcp::socket socket)
+    : listener_(listener)
+    , socket_(std::move(socket))
+    , since_(steadyNow())
+{
+    beast::error_code error;
+    remote_ = socket_.remote_endpoint(error).address();
+    setSocketOptions(socket_);
+}
+
+void HttpSession::start()
+{
+    read();
+}
+
+bool HttpSession::isIdle() const
+{
+    return pending_.empty() && !isWriting_ && !hasBegun_;
+}
+
+void HttpSession::read()
+{
+    if (isReading_ || isClosed_ || buffer_.size() >= kBufferBytes)
+        return;
+    isReading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadBytes),
+        [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+            self->isReading_ = false;
+            self->onRead(error, bytes);
+        });
+}
+
+void HttpSession::onRead(beast::error_code error, std::size_t bytes)
+{
+    if (isClosed_)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    buffer_.commit(bytes);
+    if (isFinishing_)
+        buffer_.consume(buffer_.size());
+    else
+        parse();
+    read();
+}
+
+void HttpSession::parse()
+{
+    while (!isFinishing_ && !isClosed_ && pending_.size() < kPipelined && parseOne()) { }
+}
+
+bool HttpSession::parseOne()
+{
+    if (buffer_.size() == 0)
+        return false;
+    if (!parser_) {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(listener_.limits_.headerBytes);
+        parser_->body_limit(listener_.limits_.bodyBytes);
+    }
+    if (!hasBegun_) {
+        hasBegun_ = true;
+        since_ = steadyNow();
+    }
+    beast::error_code error;
+    const bool hadHead = parser_->is_header_done();
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error && error != http::error::need_more) {
+        refuse(statusOf(error), error.message());
+        return false;
+    }
+    if (!hadHead && parser_->is_header_done() && !parser_->is_done())
+        sendContinue();
+    if (!parser_->is_done())
+        return false;
+    auto incoming = std::make_shared<Incoming>();
+    incoming->request = parser_->release();
+    incoming->receivedAt = steadyNow();
+    incoming->remote = remote_;
+    incoming->session = weak_from_this();
+    parser_.reset();
+    hasBegun_ = false;
+    pending_.push_back(std::move(incoming));
+    dispatch();
+    return true;
+}
+
+/// Ends a connection whose bytes can't be read any further.
+void HttpSession::refuse(http::status status, absl::string_view text)
+{
+    auto incoming = std::make_shared<Incoming>();
+    incoming->isDispatched = true;
+    incoming->isDone = true;
+    incoming->response = makeAnswer(status, text);
+    incoming->response->keep_alive(false);
+    parser_.reset();
+    hasBegun_ = false;
+    isFinishing_ = true;
+    pending_.push_back(std::move(incoming));
+    flush();
+}
+
+void HttpSession::dispatch()
+{
+    const auto self = shared_from_this();
+    std::vector<IncomingPtr> ready;
+    for (const IncomingPtr& incoming : pending_) {
+        const bool isFirst = incoming == pending_.front();
+        if (!isFirst && !mayOverlap(*incoming))
+            break;
+        if (!incoming->isDispatched) {
+            incoming->isDispatched = true;
+            ready.push_back(incoming);
+        }
+        if (!mayOverlap(*incoming))
+            break;
+    }
+    for (const IncomingPtr& incoming : ready) {
+        if (!incoming->isDone)
+            listener_.handler_(incoming);
+    }
+}
+
+void HttpSession::flush()
+{
+    const auto self = shared_from_this();
+    bool hasAnswered = false;
+    while (!isClosed_ && !isShut_ && !pending_.empty() && pending_.front()->response) {
+        const IncomingPtr incoming = pending_.front();
+        pending_.pop_front();
+        Response& response = *incoming->response;
+        const bool isLast = listener_.isClosing_ || !incoming->request.keep_alive() || !response.keep_alive()
+            || (isFinishing_ && pending_.empty());
+        response.version(11);
+        response.keep_alive(!isLast);
+        send(toBytes(response, incoming->request.method() == http::verb::head));
+        hasAnswered = true;
+        if (isLast) {
+            isFinishing_ = true;
+            for (const IncomingPtr& behind : std::exchange(pending_, {})) {
+                behind->isDone = true;
+                if (behind->onAbandoned)
+                    std::exchange(behind->onAbandoned, nullptr)();
+                if (behind->onSettled)
+                    std::exchange(behind->onSettled, nullptr)();
+            }
+        }
+    }
+    if (!hasAnswered)
+        return;
+    since_ = steadyNow();
+    dispatch();
+    if (!isFinishing_) {
+        parse();
+        read();
+    }
+}
+
+void HttpSession::send(std::string bytes)
+{
+    queued_ += bytes;
+    write();
+}
+
+void HttpSession::write()
+{
+    if (isWriting_ || isClosed_ || queued_.empty())
+        return;
+    isWriting_ = true;
+    writing_ = std::exchange(queued_, {});
+    asio::async_write(socket_, asio::buffer(writing_),
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onWritten(error); });
+}
+
+void HttpSession::onWritten(beast::error_code error)
+{
+    isWriting_ = false;
+    if (isClosed_)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    since_ = steadyNow();
+    if (!queued_.empty())
+        write();
+    else if (isFinishing_ && pending_.empty())
+        finish();
+}
+
+void HttpSession::sendContinue()
+{
+    if (!beast::iequals(parser_->get()[http::field::expect], "100-continue") || !pending_.empty())
+        return;
+    send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void HttpSession::finish()
+{
+    if (isShut_ || isClosed_)
+        return;
+    isShut_ = true;
+    isFinishing_ = true;
+    since_ = steadyNow();
+    beast::error_code error;
+    socket_.shutdown(Tcp::socket::shutdown_send, error);
+    if (error)
+        close();
+    else
+        read();
+}
+
+void HttpSession::checkTime(absl::Time now)
+{
+    const absl::Duration waited = now - since_;
+    const ListenerLimits& limits = listener_.limits_;
+    if (isShut_) {
+        if (waited > kLingerTime)
+            close();
+        return;
+    }
+    if (isWriting_) {
+        if (waited > kWriteTime)
+            close();
+        return;
+    }
+    if (!pending_.empty())
+        return;
+    if (hasBegun_ && !parser_->is_header_done() && waited > limits.headerTime)
+        refuse(http::status::request_timeout, "the head of the request took too long");
+    else if (waited > limits.idleTime)
+        finish();
+}
+
+void HttpSession::close()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    const auto self = shared_from_this();
+    beast::error_code error;
+    socket_.close(error);
+    for (const IncomingPtr& incoming : std::exchange(pending_, {})) {
+        const bool wasDone = std::exchange(incoming->isDone, true);
+        if (!wasDone && incoming->onAbandoned)
+            std::exchange(incoming->onAbandoned, nullptr)();
+        if (incoming->onSettled)
+            std::exchange(incoming->onSettled, nullptr)();
+    }
+    listener_.sessions_.erase(self);
+}
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/http-session.h
@@ -0,0 +1,58 @@
+/// One connection of a caller.
+#pragma once
+
+#include "relay/http-listener.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace jackdawwall::relay {
+
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+    HttpSession(HttpListener& listener, Tcp::socket socket);
+
+    void start();
+    /// Writes the answers that are next in order.
+    void flush();
+    /// Ends the connection when its time is up; called by the listener's sweep.
+    void checkTime(absl::Time now);
+    bool isIdle() const;
+    std::size_t openRequests() const { return pending_.size(); }
+    /// Breaks the connection off and abandons what waits.
+    void close();
+    /// Ends the sending side; the caller's remaining bytes are read so that no reset destroys the answer.
+    void finish();
+
+private:
+    void read();
+    void onRead(beast::error_code error, std::size_t bytes);
+    void parse();
+    bool parseOne();
+    void refuse(http::status status, absl::string_view text);
+    void dispatch();
+    void write();
+    void send(std::string bytes);
+    void onWritten(beast::error_code error);
+    void sendContinue();
+
+    HttpListener& listener_;
+    Tcp::socket socket_;
+    asio::ip::address remote_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::deque<IncomingPtr> pending_;
+    std::string writing_;
+    std::string queued_;
+    bool isWriting_ = false;
+    bool isReading_ = false;
+    bool isFinishing_ = false; ///< No further request is taken.
+    bool isShut_ = false; ///< The sending side is closed.
+    bool isClosed_ = false;
+    bool hasBegun_ = false; ///< Part of a request was read.
+    absl::Time since_; ///< Of the current wait: for a request, its rest, or the caller's close.
+};
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/message.cc
@@ -0,0 +1,139 @@
+#include "relay/message.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <chrono>
+#include <stdexcept>
+#include <vector>
+
+namespace jackdawwall::relay {
+namespace {
+
+/// Quiet time of a connection before its path is probed, seconds.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
+/// Bytes unacknowledged for so long mean a dead path.
+constexpr int kUnacknowledgedMilliseconds = 2000;
+
+template <bool isRequest> std::string serialise(http::serializer<isRequest, http::string_body>& serializer)
+{
+    std::string bytes;
+    beast::error_code error;
+    while (!serializer.is_done() && !error) {
+        serializer.next(error, [&](beast::error_code&, const auto& buffers) {
+            for (const auto buffer : beast::buffers_range_ref(buffers))
+                bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+            serializer.consume(beast::buffer_bytes(buffers));
+        });
+    }
+    return bytes;
+}
+
+void setOption(int socket, int level, int option, int value)
+{
+    // Fails only on a socket that is closed; the next read or write tells.
+    static_cast<void>(::setsockopt(socket, level, option, &value, sizeof value));
+}
+
+} // namespace
+
+absl::Time steadyNow()
+{
+    return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+std::string toBytes(const Request& request)
+{
+    http::request_serializer<http::string_body> serializer { request };
+    return serialise(serializer);
+}
+
+std::string toBytes(const Response& response, bool isHead)
+{
+    http::response_serializer<http::string_body> serializer { response };
+    std::string bytes = serialise(serializer);
+    if (isHead)
+        bytes.resize(bytes.size() - response.body().size());
+    return bytes;
+}
+
+Response makeAnswer(http::status status, absl::string_view text, absl::Duration retryAfter)
+{
+    Response response { status, 11 };
+    response.set(http::field::content_type, "text/plain");
+    if (retryAfter > absl::ZeroDuration())
+        response.set(http::field::retry_after, absl::StrCat(absl::ToDoubleSeconds(retryAfter)));
+    response.body() = std::string(text);
+    response.prepare_payload();
+    return response;
+}
+
+Response makeJsonAnswer(http::status status, std::string json)
+{
+    Response response { status, 11 };
+    response.set(http::field::content_type, "application/json");
+    response.body() = std::move(json);
+    response.prepare_payload();
+    return response;
+}
+
+void removeHopHeaders(http::fields& fields)
+{
+    const std::string listed(fromBeast(fields[http::field::connection]));
+    for (const absl::string_view name : absl::StrSplit(listed, ',')) {
+        const absl::string_view trimmed = absl::StripAsciiWhitespace(name);
+        if (!trimmed.empty())
+            fields.erase(toBeast(trimmed));
+    }
+    for (const http::field field : { http::field::connection, http::field::keep_alive, http::field::te,
+             http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::expect,
+             http::field::proxy_connection })
+        fields.erase(field);
+}
+
+absl::string_view headerOf(const http::fields& fields, absl::string_view name)
+{
+    return fromBeast(fields[toBeast(name)]);
+}
+
+void setHeader(http::fields& fields, absl::string_view name, absl::string_view value)
+{
+    fields.set(toBeast(name), toBeast(value));
+}
+
+std::int64_t numberOf(const http::fields& fields, absl::string_view name, std::int64_t fallback)
+{
+    std::int64_t number = 0;
+    return absl::SimpleAtoi(headerOf(fields, name), &number) ? number : fallback;
+}
+
+Tcp::endpoint parseEndpoint(const std::string& address)
+{
+    const std::vector<std::string> parts = absl::StrSplit(address, ':');
+    int port = 0;
+    beast::error_code error;
+    const asio::ip::address ip = asio::ip::make_address(parts.front(), error);
+    if (parts.size() != 2 || error || !absl::SimpleAtoi(parts.back(), &port) || port < 0 || port > 65535)
+        throw std::invalid_argument("not an address of the form ip:port: " + address);
+    return { ip, static_cast<unsigned short>(port) };
+}
+
+void setSocketOptions(Tcp::socket& socket)
+{
+    const int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+}
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/names.h
@@ -0,0 +1,31 @@
+/// Names of the headers that carry a call's context. An adapter may replace those that callers and targets see.
+#pragma once
+
+#include <string>
+
+namespace jackdawwall::relay {
+
+/// Headers between callers, nodes and targets.
+struct HeaderNames {
+    std::string requestId = "Jackdaw-Request-Id"; ///< One for each sending by a caller; echoed by targets.
+    std::string timeLeft = "Jackdaw-Time-Left-Ms"; ///< Milliseconds that the caller still waits.
+    std::string caller = "Jackdaw-Caller"; ///< Service that the calling process belongs to.
+    std::string seal = "Jackdaw-Seal"; ///< Mark that the target puts on each answer of its own.
+    std::string notRun = "Jackdaw-Not-Run"; ///< Set by a target that did not run the request.
+    std::string expectTarget = "Jackdaw-Expect-Target"; ///< Id of the only target that may run the request.
+};
+
+/// Headers between nodes only.
+inline constexpr char kServiceHeader[] = "Jackdaw-Hop-Service";
+inline constexpr char kRouteHeader[] = "Jackdaw-Hop-Route";
+inline constexpr char kPriorityHeader[] = "Jackdaw-Hop-Priority";
+inline constexpr char kRepeatableHeader[] = "Jackdaw-Hop-Repeatable";
+inline constexpr char kTimeLeftHeader[] = "Jackdaw-Hop-Left-Ms";
+inline constexpr char kArrivalsHeader[] = "Jackdaw-Hop-Arrivals"; ///< Targets that the request reached before.
+inline constexpr char kCallerHeader[] = "Jackdaw-Hop-Caller";
+inline constexpr char kEndHeader[] = "Jackdaw-Hop-End"; ///< On answers: how the call ended at the node.
+inline constexpr char kReasonHeader[] = "Jackdaw-Hop-Reason";
+inline constexpr char kWaitingHeader[] = "Jackdaw-Hop-Waiting"; ///< Calls that wait at the node.
+inline constexpr char kNewsHeader[] = "Jackdaw-Hop-News"; ///< Marks a message of the membership.
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/peer-link.h
@@ -0,0 +1,60 @@
+/// Keeps nodes informed of each other: rounds of news with a few neighbours, the newest configuration along
+/// with them, and news of this node's own target told at once.
+#pragma once
+
+#include "relay/http-listener.h"
+#include "relay/relay-state.h"
+
+#include <functional>
+#include <vector>
+
+namespace jackdawwall::relay {
+
+/// Calls back into the node.
+struct PeerLinkEvents {
+    /// Another node told a newer configuration.
+    std::function<void(const std::string& document)> onConfiguration;
+    /// Another node told what an earlier run of this one acknowledged, or that there is nothing.
+    std::function<void(const std::optional<Lifetime>& left)> onPast;
+};
+
+class PeerLink {
+public:
+    PeerLink(RelayState& state, PeerLinkEvents events);
+
+    /// Starts the rounds.
+    void start();
+    /// A message of another node.
+    void accept(const IncomingPtr& incoming);
+    /// Starts a round now; `told` is called once when a neighbour has taken the news in.
+    void announce(std::function<void()> told = nullptr);
+    /// Takes in members from the store.
+    void introduce(const std::vector<Member>& members);
+
+private:
+    struct Neighbour {
+        std::string run; ///< Names one run of its process.
+        RouteVersion version = 0;
+        std::uint64_t heardUpTo = 0; ///< Change number of its news that this node took in.
+        bool isAsked = false; ///< A message to it is under way.
+        int skipped = 0;
+    };
+
+    void round();
+    void send(const std::string& address);
+    void onReply(const std::string& address, std::uint64_t upTo, const ExchangeResult& result);
+    std::string message(const std::string& address, bool isReply, std::uint64_t& upTo);
+    bool takeIn(const std::string& body, std::string& from);
+    void merge(std::vector<Member> told);
+    void noteRun(const std::string& address, const std::string& run);
+
+    RelayState& state_;
+    PeerLinkEvents events_;
+    asio::steady_timer timer_;
+    std::string run_;
+    std::map<std::string, Neighbour> neighbours_;
+    /// Callbacks by the change number that a neighbour has to take in.
+    std::vector<std::pair<std::uint64_t, std::function<void()>>> waitingForNews_;
+};
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/peer-message.cc
@@ -0,0 +1,93 @@
+#include "relay/peer-message.h"
+
+#include "adapter/json-reader.h"
+
+namespace jackdawwall::relay {
+namespace {
+
+constexpr std::array kStatuses { MemberStatus::Alive, MemberStatus::Suspect, MemberStatus::Leaving,
+    MemberStatus::Dead };
+
+Json::Value toJson(const Member& member)
+{
+    Json::Value value;
+    value["address"] = member.peerAddress;
+    value["incarnation"] = Json::UInt64(member.incarnation);
+    value["status"] = std::string(toText(member.status));
+    value["service"] = member.service;
+    value["dataCentre"] = member.dataCentre;
+    value["isServing"] = member.isServing;
+    if (!member.leftTarget.empty()) {
+        value["leftTarget"] = member.leftTarget;
+        value["leftStartedAt"] = Json::UInt64(member.leftStartedAt);
+    }
+    return value;
+}
+
+/// Throws Json::Exception for a value of another type, as all readers below do.
+Member memberFrom(const Json::Value& value)
+{
+    Member member;
+    member.peerAddress = value["address"].asString();
+    member.incarnation = value["incarnation"].asUInt64();
+    const std::string status = value["status"].asString();
+    for (const MemberStatus candidate : kStatuses) {
+        if (toText(candidate) == status)
+            member.status = candidate;
+    }
+    member.service = value["service"].asString();
+    member.dataCentre = value["dataCentre"].asString();
+    member.isServing = value["isServing"].asBool();
+    member.leftTarget = value.get("leftTarget", "").asString();
+    member.leftStartedAt = value.get("leftStartedAt", 0).asUInt64();
+    if (!isAddress(member.peerAddress))
+        throw Json::RuntimeError("a member without address");
+    return member;
+}
+
+PeerMessage messageFrom(const Json::Value& value)
+{
+    PeerMessage message;
+    message.run = value["run"].asString();
+    message.from = memberFrom(value["from"]);
+    for (const Json::Value& member : value["members"])
+        message.members.push_back(memberFrom(member));
+    message.upTo = value["upTo"].asUInt64();
+    message.heardUpTo = value["heardUpTo"].asUInt64();
+    message.version = value["version"].asUInt64();
+    message.configuration = value.get("configuration", "").asString();
+    return message;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage& message)
+{
+    Json::Value value;
+    value["run"] = message.run;
+    value["from"] = toJson(message.from);
+    value["members"] = Json::Value(Json::arrayValue);
+    for (const Member& member : message.members)
+        value["members"].append(toJson(member));
+    value["upTo"] = Json::UInt64(message.upTo);
+    value["heardUpTo"] = Json::UInt64(message.heardUpTo);
+    value["version"] = Json::UInt64(message.version);
+    if (!message.configuration.empty())
+        value["configuration"] = message.configuration;
+    return canonicalJson(value);
+}
+
+absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& text)
+{
+    std::vector<Finding> findings;
+    const auto value = parseJson({ "message", text, &findings });
+    if (!value || !value->isObject())
+        return absl::InvalidArgumentError("no JSON object");
+    try {
+        return messageFrom(*value);
+    } catch (const Json::Exception& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/relay-settings.cc
@@ -0,0 +1,47 @@
+#include "relay/relay-settings.h"
+
+#include "adapter/json-reader.h"
+
+namespace jackdawwall::relay {
+namespace {
+
+constexpr absl::Duration kLongest = absl::Hours(1);
+constexpr std::int64_t kMostMegabytes = 1 << 20;
+constexpr int kMegabyteBits = 20;
+constexpr double kMostRepeats = 1e6;
+
+} // namespace
+
+RelaySettings readRelaySettings(const std::string& file, std::vector<Finding>& findings)
+{
+    RelaySettings settings;
+    const std::string text = readFile(file, findings);
+    if (!findings.empty())
+        return settings;
+    const JsonSource source { file, text, &findings };
+    const auto parsed = parseJson(source);
+    if (!parsed)
+        return settings;
+    JsonReader reader(source, *parsed, "");
+    settings.process = reader.text("process", settings.process);
+    settings.service = reader.requiredText("service");
+    settings.dataCentre = reader.requiredText("dataCentre");
+    settings.callerAddress = reader.address("callerAddress", "127.0.0.1:0");
+    settings.peerAddress = reader.address("peerAddress", "127.0.0.1:0");
+    settings.readyAddress = reader.address("readyAddress", "127.0.0.1:0");
+    settings.heartbeatAddress = reader.address("heartbeatAddress", "127.0.0.1:0");
+    settings.targetAddress = reader.address("targetAddress", "");
+    settings.platformAddress = reader.address("platformAddress", "");
+    settings.memoryBytes
+        = static_cast<std::size_t>(reader.integer("memoryMegabytes", 256, 16, kMostMegabytes)) << kMegabyteBits;
+    settings.gossipInterval = reader.milliseconds(
+        "gossipIntervalMs", settings.gossipInterval, absl::Milliseconds(10), kLongest);
+    settings.stopTime = absl::Seconds(reader.number("stopSeconds", 6, 0.1, 3600));
+    settings.repeatRatio = reader.number("repeatRatio", settings.repeatRatio, 0, kMostRepeats);
+    settings.repeatExtra = reader.number("repeatExtra", settings.repeatExtra, 0, kMostRepeats);
+    settings.repeatWindow = absl::Seconds(reader.number("repeatWindowSeconds", 10, 0.1, 3600));
+    reader.finish();
+    return settings;
+}
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/store-duty.cc
@@ -0,0 +1,188 @@
+#include "relay/store-duty.h"
+
+#include "adapter/json-reader.h"
+#include "adapter/log.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace jackdawwall::relay {
+namespace {
+
+/// Longest wait of one watch: a path that died without notice is found out after it.
+constexpr absl::Duration kWatchTime = absl::Seconds(10);
+constexpr absl::Duration kFirstPause = absl::Milliseconds(200);
+constexpr absl::Duration kLongestPause = absl::Seconds(1);
+constexpr int kMostDoublings = 6;
+
+std::optional<Lifetime> leftFrom(const Json::Value& value)
+{
+    const std::string id = value.get("leftTarget", "").asString();
+    if (id.empty())
+        return std::nullopt;
+    return Lifetime { id, value.get("leftStartedAt", 0).asUInt64() };
+}
+
+std::optional<Member> memberFrom(const StoredItem& item)
+{
+    std::vector<Finding> findings;
+    const auto value = parseJson({ item.name, item.content, &findings });
+    if (item.isDeleted || !value || !value->isObject())
+        return std::nullopt;
+    try {
+        Member member;
+        member.peerAddress = value->get("address", "").asString();
+        member.service = value->get("service", "").asString();
+        member.dataCentre = value->get("dataCentre", "").asString();
+        member.incarnation = item.revision;
+        member.isServing = false; // Until it says itself that its target is ready.
+        if (const auto left = leftFrom(*value)) {
+            member.leftTarget = left->id;
+            member.leftStartedAt = left->startedAt;
+        }
+        if (isAddress(member.peerAddress))
+            return member;
+    } catch (const Json::Exception& error) {
+        logEvent(LogLevel::Warning, "node-record-unreadable",
+            { { "name", item.name }, { "error", error.what() } });
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+StoreDuty::StoreDuty(RelayState& state, const PlatformPort& port, StoreDutyEvents events)
+    : state_(state)
+    , port_(port)
+    , events_(std::move(events))
+    , run_(absl::StrCat(absl::Hex(state.generator())))
+{
+}
+
+void StoreDuty::start()
+{
+    registerNode();
+    listConfiguration();
+}
+
+void StoreDuty::retryLater(int& failures, const absl::Status& status, std::function<void()> step)
+{
+    if (!std::exchange(isLost_, true))
+        logEvent(LogLevel::Warning, "store-lost", { { "error", status.ToString() } });
+    const absl::Duration pause
+        = std::min(kLongestPause, kFirstPause * static_cast<double>(1 << std::min(failures, kMostDoublings)));
+    ++failures;
+    auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(pause));
+    timer->async_wait([timer, step = std::move(step)](beast::error_code error) {
+        if (!error)
+            step();
+    });
+}
+
+std::string StoreDuty::nodeContent() const
+{
+    const Member& self = state_.membership.members.at(state_.membership.self).member;
+    Json::Value value;
+    value["address"] = self.peerAddress;
+    value["service"] = self.service;
+    value["dataCentre"] = self.dataCentre;
+    value["run"] = run_;
+    if (!self.leftTarget.empty()) {
+        value["leftTarget"] = self.leftTarget;
+        value["leftStartedAt"] = Json::UInt64(self.leftStartedAt);
+    }
+    return canonicalJson(value);
+}
+
+void StoreDuty::put(std::function<void(absl::StatusOr<StoredItem>)> done)
+{
+    port_.store.put(
+        port_.nodeKind, { state_.settings.process, 0, nodeContent(), false }, std::move(done));
+}
+
+void StoreDuty::registerNode()
+{
+    put([this](absl::StatusOr<StoredItem> stored) {
+        if (!stored.ok()) {
+            retryLater(nodeFailures_, stored.status(), [this] { registerNode(); });
+            return;
+        }
+        nodeFailures_ = 0;
+        std::vector<Finding> findings;
+        const auto before = parseJson({ stored->name, stored->content, &findings });
+        events_.onPast(before && before->isObject() ? leftFrom(*before) : std::nullopt);
+        events_.onRegistered(stored->revision);
+        listNodes();
+    });
+}
+
+void StoreDuty::listNodes()
+{
+    port_.store.list(port_.nodeKind, [this](const absl::StatusOr<StoreListing>& listing) {
+        if (!listing.ok()) {
+            retryLater(nodeFailures_, listing.status(), [this] { listNodes(); });
+            return;
+        }
+        nodeFailures_ = 0;
+        std::vector<Member> members;
+        for (const StoredItem& item : listing->items) {
+            const auto member = memberFrom(item);
+            if (member && member->peerAddress != state_.membership.self)
+                members.push_back(*member);
+        }
+        events_.onMembers(members);
+    });
+}
+
+void StoreDuty::recordLeave(std::function<void()> stored)
+{
+    put([this, stored](const absl::StatusOr<StoredItem>& result) {
+        if (result.ok())
+            stored();
+        else
+            retryLater(nodeFailures_, result.status(), [this, stored] { recordLeave(stored); });
+    });
+}
+
+void StoreDuty::listConfiguration()
+{
+    port_.store.list(port_.configurationKind, [this](const absl::StatusOr<StoreListing>& listing) {
+        if (!listing.ok()) {
+            retryLater(configurationFailures_, listing.status(), [this] { listConfiguration(); });
+            return;
+        }
+        onListing(listing);
+        watchConfiguration(listing->revision);
+    });
+}
+
+void StoreDuty::watchConfiguration(StoreRevision after)
+{
+    port_.store.watch(port_.configurationKind, after, kWatchTime,
+        [this, after](const absl::StatusOr<StoreListing>& listing) {
+            if (listing.ok()) {
+                onListing(listing);
+                watchConfiguration(std::max(after, listing->revision));
+                return;
+            }
+            if (absl::IsOutOfRange(listing.status()))
+                listConfiguration();
+            else
+                retryLater(
+                    configurationFailures_, listing.status(), [this, after] { watchConfiguration(after); });
+        });
+}
+
+void StoreDuty::onListing(const absl::StatusOr<StoreListing>& listing)
+{
+    configurationFailures_ = 0;
+    if (std::exchange(isLost_, false))
+        logEvent(LogLevel::Info, "store-regained", { { "revision", listing->revision } });
+    for (const StoredItem& item : listing->items) {
+        if (item.name == port_.configurationName && !item.isDeleted)
+            events_.onConfiguration(item.content);
+    }
+}
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/store-duty.h
@@ -0,0 +1,49 @@
+/// Dealings with the platform's store: finds the other nodes, follows the operators' configuration, and records
+/// when the own target leaves. Retries with growing pauses; a store that is away stops nothing else.
+#pragma once
+
+#include "relay/platform-port.h"
+#include "relay/relay-state.h"
+
+#include <functional>
+
+namespace jackdawwall::relay {
+
+struct StoreDutyEvents {
+    std::function<void(const std::string& document)> onConfiguration;
+    std::function<void(const std::vector<Member>& members)> onMembers;
+    /// What the store holds of an earlier run of this node; empty when nothing.
+    std::function<void(const std::optional<Lifetime>& left)> onPast;
+    /// The revision under which this node is registered now.
+    std::function<void(StoreRevision revision)> onRegistered;
+};
+
+class StoreDuty {
+public:
+    StoreDuty(RelayState& state, const PlatformPort& port, StoreDutyEvents events);
+
+    void start();
+    /// Records the newest lifetime that left; `stored` is called when the store has it.
+    void recordLeave(std::function<void()> stored);
+
+private:
+    void registerNode();
+    void listNodes();
+    void listConfiguration();
+    void watchConfiguration(StoreRevision after);
+    void onListing(const absl::StatusOr<StoreListing>& listing);
+    void put(std::function<void(absl::StatusOr<StoredItem>)> done);
+    /// Runs `step` after a pause that grows with each failure in a row.
+    void retryLater(int& failures, const absl::Status& status, std::function<void()> step);
+    std::string nodeContent() const;
+
+    RelayState& state_;
+    const PlatformPort& port_;
+    StoreDutyEvents events_;
+    std::string run_;
+    int nodeFailures_ = 0;
+    int configurationFailures_ = 0;
+    bool isLost_ = false;
+};
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/relay/upstream.cc
@@ -0,0 +1,255 @@
+#include "relay/upstream.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace jackdawwall::relay {
+namespace {
+
+constexpr std::size_t kReadBytes = 16U << 10;
+/// Answers to other requests that are skipped before the connection is given up.
+constexpr int kStrayAnswers = 3;
+/// Part of the announced idle time during which a connection is reused.
+constexpr double kKeepAliveShare = 0.7;
+constexpr unsigned kInformational = 200;
+
+absl::Duration announcedKeepAlive(const Response& response)
+{
+    for (const absl::string_view part : absl::StrSplit(fromBeast(response[http::field::keep_alive]), ',')) {
+        const std::vector<absl::string_view> pair = absl::StrSplit(part, '=');
+        double seconds = 0;
+        if (pair.size() == 2 && pair[0].find("timeout") != absl::string_view::npos
+            && absl::SimpleAtod(pair[1], &seconds))
+            return absl::Seconds(seconds);
+    }
+    return absl::InfiniteDuration();
+}
+
+} // namespace
+
+Upstream::Upstream(UpstreamPool& pool, Tcp::endpoint endpoint)
+    : pool_(pool)
+    , endpoint_(std::move(endpoint))
+    , socket_(pool.loop_)
+    , timer_(pool.loop_)
+{
+}
+
+void Upstream::send(ExchangePlan plan, ExchangeDone done)
+{
+    plan_ = std::move(plan);
+    done_ = std::move(done);
+    strayAnswers_ = 0;
+    if (isConnected_)
+        write();
+    else
+        connect();
+}
+
+void Upstream::connect()
+{
+    timer_.expires_after(absl::ToChronoMicroseconds(plan_.connectTime));
+    timer_.async_wait([self = shared_from_this()](beast::error_code error) {
+        if (!error && !self->isConnected_)
+            self->finish(ExchangeEnd::NotSent);
+    });
+    socket_.async_connect(endpoint_, [self = shared_from_this()](beast::error_code error) {
+        if (self->isClosed_)
+            return;
+        self->timer_.cancel();
+        if (error) {
+            self->finish(ExchangeEnd::NotSent);
+            return;
+        }
+        self->isConnected_ = true;
+        setSocketOptions(self->socket_);
+        self->write();
+        self->read();
+    });
+}
+
+void Upstream::write()
+{
+    beginParser();
+    isWriting_ = true;
+    asio::async_write(socket_, asio::buffer(plan_.bytes),
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+            self->isWriting_ = false;
+            // The other side may have answered before it closed; the read tells.
+            if (error)
+                self->isReusable_ = false;
+        });
+}
+
+void Upstream::beginParser()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->skip(plan_.isHead);
+    parser_->body_limit(plan_.answerBytes);
+}
+
+void Upstream::read()
+{
+    if (isReading_ || isClosed_)
+        return;
+    isReading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadBytes),
+        [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+            self->isReading_ = false;
+            if (!self->isClosed_)
+                self->onRead(error, bytes);
+        });
+}
+
+void Upstream::onRead(beast::error_code error, std::size_t bytes)
+{
+    buffer_.commit(bytes);
+    if (!done_) { // Idle: it was closed, or these bytes belong to no request.
+        close();
+        return;
+    }
+    if (error) {
+        onEndOfStream(error);
+        return;
+    }
+    parse();
+    read();
+}
+
+void Upstream::onEndOfStream(beast::error_code error)
+{
+    isReusable_ = false;
+    if (error == asio::error::eof && parser_ && parser_->is_header_done()) {
+        beast::error_code ignored;
+        parser_->put_eof(ignored);
+        if (!ignored && parser_->is_done() && takeAnswer())
+            return;
+        finish(ExchangeEnd::Malformed);
+        return;
+    }
+    finish(parser_ && parser_->got_some() ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
+}
+
+void Upstream::parse()
+{
+    while (done_ && buffer_.size() > 0) {
+        beast::error_code error;
+        buffer_.consume(parser_->put(buffer_.data(), error));
+        if (error && error != http::error::need_more) {
+            isReusable_ = false;
+            finish(ExchangeEnd::Malformed);
+            return;
+        }
+        if (!parser_->is_done())
+            return;
+        if (takeAnswer())
+            return;
+        beginParser();
+    }
+}
+
+/// Reports the parsed answer; false when it belongs to another request or is an interim one.
+bool Upstream::takeAnswer()
+{
+    const bool isKept = parser_->keep_alive();
+    answer_ = parser_->release();
+    if (answer_.result_int() < kInformational)
+        return false;
+    const absl::string_view id = plan_.idHeader.empty() ? "" : headerOf(answer_, plan_.idHeader);
+    if (!id.empty() && id != plan_.id && ++strayAnswers_ <= kStrayAnswers) {
+        isReusable_ = false;
+        return false;
+    }
+    isReusable_ = isReusable_ && isKept && buffer_.size() == 0 && !isWriting_;
+    keepAlive_ = announcedKeepAlive(answer_);
+    finish(strayAnswers_ > kStrayAnswers ? ExchangeEnd::Malformed : ExchangeEnd::Complete);
+    return true;
+}
+
+void Upstream::finish(ExchangeEnd end)
+{
+    const auto self = shared_from_this();
+    timer_.cancel();
+    const ExchangeDone done = std::exchange(done_, nullptr);
+    ExchangeResult result { end, std::move(answer_) };
+    answer_ = {};
+    parser_.reset();
+    plan_ = {};
+    if (end == ExchangeEnd::Complete && isReusable_ && !isClosed_) {
+        idleSince_ = steadyNow();
+        pool_.idle_[endpoint_].push_back(self);
+    } else {
+        close();
+    }
+    if (done)
+        done(std::move(result));
+}
+
+void Upstream::cancel()
+{
+    done_ = nullptr;
+    close();
+}
+
+void Upstream::close()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    timer_.cancel();
+    beast::error_code error;
+    socket_.close(error);
+    const auto found = pool_.idle_.find(endpoint_);
+    if (found != pool_.idle_.end())
+        std::erase_if(found->second, [&](const auto& other) { return other.get() == this; });
+}
+
+UpstreamPool::~UpstreamPool()
+{
+    const auto idle = std::exchange(idle_, {});
+    for (const auto& [endpoint, connections] : idle) {
+        for (const auto& connection : connections)
+            connection->cancel();
+    }
+}
+
+std::shared_ptr<Upstream> UpstreamPool::send(
+    const Tcp::endpoint& endpoint, ExchangePlan plan, ExchangeDone done)
+{
+    const absl::Time now = steadyNow();
+    std::vector<std::shared_ptr<Upstream>>& idle = idle_[endpoint];
+    std::shared_ptr<Upstream> chosen;
+    while (!idle.empty() && !chosen) {
+        std::shared_ptr<Upstream> last = idle.back();
+        idle.pop_back();
+        const absl::Duration age = now - last->idleSince_;
+        if (age <= std::min(plan.freshFor, last->keepAlive_ * kKeepAliveShare))
+            chosen = std::move(last);
+        else
+            last->cancel();
+    }
+    if (!chosen) {
+        chosen = std::make_shared<Upstream>(*this, endpoint);
+        ++opened_;
+    }
+    chosen->send(std::move(plan), std::move(done));
+    return chosen;
+}
+
+void UpstreamPool::forget(const Tcp::endpoint& endpoint)
+{
+    const auto found = idle_.find(endpoint);
+    if (found == idle_.end())
+        return;
+    const auto connections = std::exchange(found->second, {});
+    for (const auto& connection : connections)
+        connection->cancel();
+}
+
+} // namespace jackdawwall::relay
--- /dev/null
+++ b/src/route-table.cc
@@ -0,0 +1,66 @@
+#include "jackdawwall/route-table.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+
+#include <algorithm>
+
+namespace jackdawwall {
+namespace {
+
+std::string normalHost(absl::string_view host)
+{
+    return absl::AsciiStrToLower(host.substr(0, host.rfind(':')));
+}
+
+const std::string& noService()
+{
+    static const std::string kEmpty;
+    return kEmpty;
+}
+
+} // namespace
+
+void addRoute(RouteTable& table, Route route)
+{
+    std::vector<Route>& routes = table.byHost[route.host];
+    const auto place = std::find_if(routes.begin(), routes.end(),
+        [&](const Route& other) { return other.prefix.size() < route.prefix.size(); });
+    routes.insert(place, std::move(route));
+}
+
+const Route* matchRoute(const RouteTable& table, absl::string_view host, absl::string_view path)
+{
+    const auto found = table.byHost.find(normalHost(host));
+    if (found == table.byHost.end())
+        return nullptr;
+    for (const Route& route : found->second) {
+        if (absl::StartsWith(path, route.prefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+const std::string& chooseService(SplitState& state, const Route& route)
+{
+    if (route.parts.empty())
+        return noService();
+    if (route.parts.size() == 1)
+        return route.parts.front().service;
+    std::vector<double>& credits = state.credits[route.name];
+    credits.resize(route.parts.size(), 0);
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < route.parts.size(); ++index) {
+        total += route.parts[index].weight;
+        credits[index] += route.parts[index].weight;
+        if (credits[index] > credits[best])
+            best = index;
+    }
+    if (total <= 0)
+        return noService();
+    credits[best] -= total;
+    return route.parts[best].service;
+}
+
+} // namespace jackdawwall
--- /dev/null
+++ b/src/target-lifetime.cc
@@ -0,0 +1,90 @@
+#include "jackdawwall/target-lifetime.h"
+
+#include <algorithm>
+
+namespace jackdawwall {
+namespace {
+
+/// True when `lifetime` is the one that left, or an older one.
+bool hasLeft(const TargetState& state, const Lifetime& lifetime)
+{
+    if (!state.lastLeft)
+        return false;
+    if (lifetime == *state.lastLeft)
+        return true;
+    return lifetime.startedAt != 0 && lifetime.startedAt < state.lastLeft->startedAt;
+}
+
+/// True when `lifetime` began before the current one.
+bool isOlder(const TargetState& state, const Lifetime& lifetime)
+{
+    return lifetime.startedAt != 0 && lifetime.startedAt < state.lifetime.startedAt;
+}
+
+void noteLeft(TargetState& state, const Lifetime& lifetime)
+{
+    if (!state.lastLeft || lifetime.startedAt >= state.lastLeft->startedAt)
+        state.lastLeft = lifetime;
+}
+
+} // namespace
+
+TargetChange noteHeartbeat(TargetState& state, const Heartbeat& heartbeat, absl::Time now)
+{
+    const bool isSame = state.phase != TargetPhase::Unknown && heartbeat.lifetime == state.lifetime;
+    if (!isSame && (isOlder(state, heartbeat.lifetime) || hasLeft(state, heartbeat.lifetime)))
+        return {};
+    if (isSame && heartbeat.sequence <= state.sequence && heartbeat.phase <= state.phase)
+        return {};
+    TargetChange change { true, false, !isSame };
+    const TargetPhase before = isSame ? state.phase : TargetPhase::Unknown;
+    if (!isSame) {
+        state.lifetime = heartbeat.lifetime;
+        state.readyHeard = 0;
+        state.sequence = 0;
+    }
+    state.sequence = std::max(state.sequence, heartbeat.sequence);
+    state.phase = std::max(before, heartbeat.phase);
+    if (hasLeft(state, heartbeat.lifetime))
+        state.phase = TargetPhase::Leaving;
+    state.readyHeard += heartbeat.phase == TargetPhase::Ready ? 1 : 0;
+    if (heartbeat.slots > 0)
+        state.slots = heartbeat.slots;
+    state.coldUntil = now + heartbeat.coldFor;
+    if (state.phase == TargetPhase::Leaving)
+        noteLeft(state, state.lifetime);
+    change.hasPhaseChanged = state.phase != before || !isSame;
+    return change;
+}
+
+TargetChange noteLeave(TargetState& state, const Lifetime& lifetime)
+{
+    const bool isNamed = lifetime.id == state.lifetime.id
+        && (lifetime.startedAt == 0 || lifetime.startedAt >= state.lifetime.startedAt);
+    Lifetime left = lifetime;
+    if (isNamed && left.startedAt == 0)
+        left.startedAt = state.lifetime.startedAt;
+    noteLeft(state, left);
+    if (!isNamed || state.phase != TargetPhase::Ready)
+        return { true, false, false };
+    state.phase = TargetPhase::Leaving;
+    return { true, true, false };
+}
+
+TargetChange recallLeave(TargetState& state, const Lifetime& lifetime)
+{
+    noteLeft(state, lifetime);
+    if (state.phase != TargetPhase::Ready || !hasLeft(state, state.lifetime))
+        return { true, false, false };
+    state.phase = TargetPhase::Leaving;
+    return { true, true, false };
+}
+
+bool isServing(const TargetState& state)
+{
+    if (state.phase != TargetPhase::Ready)
+        return false;
+    return state.knowsPast || state.readyHeard >= kHeartbeatsWithoutPast;
+}
+
+} // namespace jackdawwall
