Callers that stay after SIGTERM are refused while there is still time to answer

Change: after 2.6 s callers get 503 with Retry-After; calls of the own target go on. Ruled out: closing the listener then, since callers without another node would be cut off.

--- a/include/jackdawwall/route-table.h
+++ b/include/jackdawwall/route-table.h
@@ -1,5 +1,5 @@
-/// Routes by host and path prefix: which service does the work, what may be repeated and for how long a caller
-/// waits. A table is immutable; a newer version replaces it whole.
+/// Routes by host and path prefix: which service does the work, what may be repeated and for how long a
+/// caller waits. A table is immutable; a newer version replaces it whole.
 #pragma once
 
 #include "jackdawwall/core.h"
--- a/include/jackdawwall/target-lifetime.h
+++ b/include/jackdawwall/target-lifetime.h
@@ -1,5 +1,6 @@
-/// What a node believes of the target beside it, from the target's heartbeats. Heartbeats may arrive late, out
-/// of order and from a process that has ended; a lifetime that has begun to leave never becomes ready again.
+/// What a node believes of the target beside it, from the target's heartbeats. Heartbeats may arrive late,
+/// out of order and from a process that has ended; a lifetime that has begun to leave never becomes ready
+/// again.
 #pragma once
 
 #include "absl/time/time.h"
--- a/src/relay/caller-gate.cc
+++ b/src/relay/caller-gate.cc
@@ -88,8 +88,8 @@
         plan.bytes = encodeCall(gateCall(), service_, steadyNow());
         plan.isHead = incoming_->request.method() == http::verb::head;
         plan.connectTime = kPeerConnectTime;
-        connection_ = state_.pool.send(parseEndpoint(address_), std::move(plan),
-            [self = shared_from_this()](ExchangeResult result) {
+        connection_ = state_.pool.send(
+            parseEndpoint(address_), std::move(plan), [self = shared_from_this()](ExchangeResult result) {
                 self->connection_.reset();
                 self->onResult(decodeResult(std::move(result)));
             });
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -8,8 +8,8 @@
 
 #include <functional>
 #include <memory>
-#include <string>
 #include <optional>
+#include <string>
 #include <unordered_set>
 #include <utility>
 #include <vector>
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -71,8 +71,8 @@
     if (isReading_ || isClosed_ || buffer_.size() >= kBufferBytes)
         return;
     isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadBytes),
-        [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+    socket_.async_read_some(
+        buffer_.prepare(kReadBytes), [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
             self->isReading_ = false;
             self->onRead(error, bytes);
         });
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -1,4 +1,5 @@
-/// Names of the headers that carry a call's context. An adapter may replace those that callers and targets see.
+/// Names of the headers that carry a call's context. An adapter may replace those that callers and targets
+/// see.
 #pragma once
 
 #include <string>
@@ -21,7 +22,8 @@
 inline constexpr char kPriorityHeader[] = "Jackdaw-Hop-Priority";
 inline constexpr char kRepeatableHeader[] = "Jackdaw-Hop-Repeatable";
 inline constexpr char kTimeLeftHeader[] = "Jackdaw-Hop-Left-Ms";
-inline constexpr char kArrivalsHeader[] = "Jackdaw-Hop-Arrivals"; ///< Targets that the request reached before.
+inline constexpr char kArrivalsHeader[]
+    = "Jackdaw-Hop-Arrivals"; ///< Targets that the request reached before.
 inline constexpr char kCallerHeader[] = "Jackdaw-Hop-Caller";
 inline constexpr char kEndHeader[] = "Jackdaw-Hop-End"; ///< On answers: how the call ended at the node.
 inline constexpr char kReasonHeader[] = "Jackdaw-Hop-Reason";
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -36,8 +36,7 @@
     /// All objects of a kind.
     std::function<void(const StoreKind&, std::function<void(absl::StatusOr<StoreListing>)>)> list;
     /// Creates or replaces an object. Answers its new revision, and what it held before if it existed.
-    std::function<void(const StoreKind&, const StoredItem&,
-        std::function<void(absl::StatusOr<StoredItem>)>)>
+    std::function<void(const StoreKind&, const StoredItem&, std::function<void(absl::StatusOr<StoredItem>)>)>
         put;
     /// Waits for changes after a revision; an empty listing when there was none. OutOfRange when that history
     /// is gone.
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -9,6 +9,9 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 /// From the stop until callers have been sent elsewhere and idle connections are closed.
 constexpr absl::Duration kCallerDrainTime = absl::Milliseconds(2600);
+constexpr absl::Duration kStopRetryAfter = absl::Milliseconds(500);
+/// Time for callers to close their connections once all work is done.
+constexpr absl::Duration kCloseTime = absl::Milliseconds(400);
 /// Kept of the stop time for the end of the process itself.
 constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
 
@@ -28,15 +31,15 @@
               [this](const std::optional<Lifetime>& left) { onPast(left); },
               [this](StoreRevision revision) { onRegistered(revision); } })
     , callers_(loop, state_.settings.callerAddress,
-          [this](const IncomingPtr& incoming) { callerGate_.accept(incoming); })
-    , peers_(loop, state_.settings.peerAddress,
-          [this](const IncomingPtr& incoming) { onPeerRequest(incoming); })
+          [this](const IncomingPtr& incoming) { onCallerRequest(incoming); })
+    , peers_(
+          loop, state_.settings.peerAddress, [this](const IncomingPtr& incoming) { onPeerRequest(incoming); })
     , ready_(loop, state_.settings.readyAddress,
           [this](const IncomingPtr& incoming) { onReadyRequest(incoming); })
     , heartbeats_(loop, state_.settings.heartbeatAddress,
           [this](const IncomingPtr& incoming) { onTargetRequest(incoming); })
     , tickTimer_(loop)
-    , startedAt_(steadyNow())
+    , targetIp_(parseEndpoint(state_.settings.targetAddress).address())
 {
     ListenerLimits peerLimits;
     peerLimits.headerBytes = 64U << 10;
@@ -61,6 +64,18 @@
     });
 }
 
+void RelayNode::onCallerRequest(const IncomingPtr& incoming)
+{
+    // Calls of the own target belong to work in flight.
+    const bool isLate = state_.isStopping && steadyNow() - stoppingSince_ >= kCallerDrainTime;
+    if (isLate && incoming->remote != targetIp_) {
+        incoming->answer(
+            makeAnswer(http::status::service_unavailable, "not run; stopping\n", kStopRetryAfter));
+        return;
+    }
+    callerGate_.accept(incoming);
+}
+
 void RelayNode::onPeerRequest(const IncomingPtr& incoming)
 {
     if (!headerOf(incoming->request, kNewsHeader).empty()) {
@@ -123,8 +138,8 @@
                 { "slots", state_.target.slots } });
         targetChanged();
     }
-    const bool isLeaving = message.kind == TargetMessage::Kind::Leave
-        || message.heartbeat.phase == TargetPhase::Leaving;
+    const bool isLeaving
+        = message.kind == TargetMessage::Kind::Leave || message.heartbeat.phase == TargetPhase::Leaving;
     if (isLeaving)
         onLeave(change, incoming);
     else
@@ -189,8 +204,7 @@
     if (table->version <= state_.version())
         return;
     logEvent(LogLevel::Info, "configuration-applied",
-        { { "version", table->version }, { "before", state_.version() },
-            { "hosts", table->byHost.size() } });
+        { { "version", table->version }, { "before", state_.version() }, { "hosts", table->byHost.size() } });
     ListenerLimits limits;
     limits.headerBytes = table->limits.headerBytes;
     limits.bodyBytes = table->limits.bodyBytes;
@@ -218,7 +232,8 @@
     const std::size_t open = callers_.openRequests() + peers_.openRequests();
     if (since >= kCallerDrainTime)
         callers_.closeIdle();
-    const bool isQuiet = since >= kCallerDrainTime && open == 0 && callers_.sessionCount() == 0;
+    const bool isClosed = callers_.sessionCount() == 0 || since >= kCallerDrainTime + kCloseTime;
+    const bool isQuiet = since >= kCallerDrainTime && open == 0 && isClosed;
     if (!isQuiet && since < state_.settings.stopTime - kStopReserve)
         return;
     logEvent(LogLevel::Info, "stopped", { { "open", open } });
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -21,6 +21,7 @@
     const HttpListener& peerPort() const { return peers_; }
 
 private:
+    void onCallerRequest(const IncomingPtr& incoming);
     void onPeerRequest(const IncomingPtr& incoming);
     void onReadyRequest(const IncomingPtr& incoming) const;
     void onTargetRequest(const IncomingPtr& incoming);
@@ -45,7 +46,7 @@
     HttpListener ready_;
     HttpListener heartbeats_;
     asio::steady_timer tickTimer_;
-    absl::Time startedAt_;
+    asio::ip::address targetIp_;
     absl::Time stoppingSince_;
 };
 
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -33,9 +33,10 @@
     settings.targetAddress = reader.address("targetAddress", "");
     settings.platformAddress = reader.address("platformAddress", "");
     settings.memoryBytes
-        = static_cast<std::size_t>(reader.integer("memoryMegabytes", 256, 16, kMostMegabytes)) << kMegabyteBits;
-    settings.gossipInterval = reader.milliseconds(
-        "gossipIntervalMs", settings.gossipInterval, absl::Milliseconds(10), kLongest);
+        = static_cast<std::size_t>(reader.integer("memoryMegabytes", 256, 16, kMostMegabytes))
+        << kMegabyteBits;
+    settings.gossipInterval
+        = reader.milliseconds("gossipIntervalMs", settings.gossipInterval, absl::Milliseconds(10), kLongest);
     settings.stopTime = absl::Seconds(reader.number("stopSeconds", 6, 0.1, 3600));
     settings.repeatRatio = reader.number("repeatRatio", settings.repeatRatio, 0, kMostRepeats);
     settings.repeatExtra = reader.number("repeatExtra", settings.repeatExtra, 0, kMostRepeats);
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -3,8 +3,8 @@
 namespace jackdawwall::relay {
 namespace {
 
-/// Cost of an answer from another data centre, as extra latency. Its bytes are priced, so a far target is used
-/// only when the near one is clearly busier.
+/// Cost of an answer from another data centre, as extra latency. Its bytes are priced, so a far target is
+/// used only when the near one is clearly busier.
 constexpr absl::Duration kRemoteCost = absl::Milliseconds(150);
 
 Member selfMember(const RelaySettings& settings)
--- a/src/relay/store-duty.cc
+++ b/src/relay/store-duty.cc
@@ -97,8 +97,7 @@
 
 void StoreDuty::put(std::function<void(absl::StatusOr<StoredItem>)> done)
 {
-    port_.store.put(
-        port_.nodeKind, { state_.settings.process, 0, nodeContent(), false }, std::move(done));
+    port_.store.put(port_.nodeKind, { state_.settings.process, 0, nodeContent(), false }, std::move(done));
 }
 
 void StoreDuty::registerNode()
--- a/src/relay/store-duty.h
+++ b/src/relay/store-duty.h
@@ -1,5 +1,5 @@
-/// Dealings with the platform's store: finds the other nodes, follows the operators' configuration, and records
-/// when the own target leaves. Retries with growing pauses; a store that is away stops nothing else.
+/// Dealings with the platform's store: finds the other nodes, follows the operators' configuration, and
+/// records when the own target leaves. Retries with growing pauses; a store that is away stops nothing else.
 #pragma once
 
 #include "relay/platform-port.h"
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -103,9 +103,8 @@
     plan.id = held->call.requestId;
     plan.connectTime = kConnectTime;
     plan.freshFor = held->call.isRepeatable ? kReuse : options_.unsafeReuse;
-    held->connection = pool_.send(endpoint_, std::move(plan), [this, id](ExchangeResult result) {
-        onAnswer(id, std::move(result));
-    });
+    held->connection = pool_.send(
+        endpoint_, std::move(plan), [this, id](ExchangeResult result) { onAnswer(id, std::move(result)); });
 }
 
 std::string TargetGate::requestBytes(const GateCall& call, absl::Time now) const
@@ -125,8 +124,7 @@
     if (result.end == ExchangeEnd::NotSent)
         return { GateEnd::Refused, Reason::Unreachable, {}, waiting() };
     if (result.end != ExchangeEnd::Complete) {
-        const Reason reason
-            = result.end == ExchangeEnd::Lost ? Reason::ConnectionLost : Reason::Truncated;
+        const Reason reason = result.end == ExchangeEnd::Lost ? Reason::ConnectionLost : Reason::Truncated;
         return { GateEnd::Unknown, reason, {}, waiting() };
     }
     const Response& response = result.response;
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -1,5 +1,5 @@
-/// The only way to the target beside this node: admission, the bound on repeats, and the exchange itself. What
-/// is refused here has not run.
+/// The only way to the target beside this node: admission, the bound on repeats, and the exchange itself.
+/// What is refused here has not run.
 #pragma once
 
 #include "jackdawwall/admission.h"
@@ -54,8 +54,8 @@
     HeaderNames names;
     AdmissionOptions admission;
     ArrivalBudgetOptions budget;
-    absl::Duration unsafeReuse = absl::Seconds(3); ///< Idle time after which work that runs at most once gets a
-                                                   ///< new connection.
+    absl::Duration unsafeReuse = absl::Seconds(3); ///< Idle time after which work that runs at most once gets
+                                                   ///< a new connection.
     int defaultSlots = 8; ///< Until the target names its own.
 };
 
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -99,8 +99,8 @@
     if (isReading_ || isClosed_)
         return;
     isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadBytes),
-        [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+    socket_.async_read_some(
+        buffer_.prepare(kReadBytes), [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
             self->isReading_ = false;
             if (!self->isClosed_)
                 self->onRead(error, bytes);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -95,7 +95,8 @@
     UpstreamPool(const UpstreamPool&) = delete;
     UpstreamPool& operator=(const UpstreamPool&) = delete;
 
-    /// Sends a request on a kept connection, or on a new one. `done` is called from the loop, never from here.
+    /// Sends a request on a kept connection, or on a new one. `done` is called from the loop, never from
+    /// here.
     std::shared_ptr<Upstream> send(const Tcp::endpoint& endpoint, ExchangePlan plan, ExchangeDone done);
     /// Connections opened so far.
     std::uint64_t opened() const { return opened_; }
--- /dev/null
+++ b/test/relay-test.cc
@@ -0,0 +1,341 @@
+// A node on the event loop, with real ports: answers, refusals, leaving targets, planned stops,
+// configuration.
+#include "relay-fixture.h"
+
+#include <boost/test/data/test_case.hpp>
+
+using namespace jackdawwall;
+using namespace jackdawwall::relay;
+using namespace jackdawwall::relay::test;
+
+namespace {
+
+constexpr char kRoutes[]
+    = "5;read a.example /read/ books safe 3000 1;book a.example /book/ books unsafe 3000 1;"
+      "short a.example /short/ books safe 200 1";
+
+std::optional<TargetReply> answerOk(const Request& request)
+{
+    return TargetReply { sealedAnswer(request, "body of " + std::string(request.target())), false, false };
+}
+
+/// One node beside one scripted target, ready to serve.
+struct OneNode {
+    explicit OneNode(ScriptedTarget::Script script)
+        : target(loop, std::move(script))
+        , node(loop, store, "n1", "books", target.address())
+    {
+        store.set("configuration", "main", kRoutes);
+        node.start();
+        node.awaitReady();
+        BOOST_REQUIRE_EQUAL(node.heartbeat("/ready/t1/100/1"), 200U);
+    }
+
+    ExchangeResult call(http::verb method, const std::string& path, const std::string& id)
+    {
+        return node.askAndWait(node.settings.callerAddress, callerRequest(method, path, id));
+    }
+
+    asio::io_context loop;
+    MemoryStore store { loop };
+    ScriptedTarget target;
+    TestNode node;
+};
+
+struct AnswerCase {
+    const char* what;
+    std::string bytes; ///< "{id}" stands for the request's id.
+    bool closes;
+    bool isReset;
+    unsigned status;
+};
+
+std::ostream& operator<<(std::ostream& out, const AnswerCase& answer)
+{
+    return out << answer.what;
+}
+
+const AnswerCase kAnswers[] = {
+    { "whole", "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nContent-Length: 2\r\n\r\nok", false, false, 200 },
+    { "chunked",
+        "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false,
+        false, 200 },
+    { "ended by its connection", "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\n\r\nok", true, false, 200 },
+    { "interim answer first",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+        false, false, 200 },
+    { "late answer to another request first",
+        "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nJackdaw-Request-Id: old\r\nContent-Length: 3\r\n\r\nold"
+        "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nJackdaw-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nok",
+        false, false, 200 },
+    { "failure of the target's own", "HTTP/1.1 500 X\r\nJackdaw-Seal: s\r\nContent-Length: 0\r\n\r\n", false,
+        false, 500 },
+    { "cut short", "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nContent-Length: 9\r\n\r\nok", true, false, 502 },
+    { "chunks cut short",
+        "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true, false,
+        502 },
+    { "ended by a reset", "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\n\r\nok", false, true, 502 },
+    { "without seal", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false, 502 },
+    { "encoded",
+        "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", false,
+        false, 502 },
+    { "no HTTP", "what is this\r\n\r\n", true, false, 502 },
+    { "nothing", "", true, false, 502 },
+    { "not run", "HTTP/1.1 503 X\r\nJackdaw-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false, false, 503 },
+    { "another target", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false, false, 503 },
+};
+
+std::string withId(std::string bytes, const Request& request)
+{
+    const std::size_t place = bytes.find("{id}");
+    if (place != std::string::npos)
+        bytes.replace(place, 4, std::string(headerOf(request, "Jackdaw-Request-Id")));
+    return bytes;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(answersOfATarget, boost::unit_test::data::make(kAnswers), answer)
+{
+    OneNode one([&](const Request& request) {
+        return TargetReply { withId(answer.bytes, request), answer.closes, answer.isReset };
+    });
+    const ExchangeResult result = one.call(http::verb::post, "/book/1", "r1");
+    BOOST_TEST((result.end == ExchangeEnd::Complete));
+    BOOST_TEST(result.response.result_int() == answer.status);
+    if (answer.status == 200)
+        BOOST_TEST(result.response.body() == "ok");
+    BOOST_TEST(one.target.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aSecondAnswerReachesNobody)
+{
+    OneNode one([](const Request& request) {
+        return TargetReply { sealedAnswer(request, "one") + sealedAnswer(request, "two"), false, false };
+    });
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "r1").response.body() == "one");
+    BOOST_TEST(one.call(http::verb::get, "/read/2", "r2").response.body() == "one");
+    BOOST_TEST(one.target.opened == 2);
+}
+
+BOOST_AUTO_TEST_CASE(theTargetSeesTheRequestAndItsContext)
+{
+    OneNode one(answerOk);
+    Request request = callerRequest(http::verb::post, "/book/1?x=%20", "r1", "some body");
+    request.set("X-Own", "kept");
+    request.set("Jackdaw-Caller", "forged");
+    request.set(http::field::connection, "X-Hop");
+    request.set("X-Hop", "dropped");
+    const ExchangeResult result = one.node.askAndWait(one.node.settings.callerAddress, request);
+    BOOST_TEST(result.response.body() == "body of /book/1?x=%20");
+    const Request& seen = one.target.requests.at(0);
+    BOOST_TEST(seen.body() == "some body");
+    BOOST_TEST(headerOf(seen, "X-Own") == "kept");
+    BOOST_TEST(headerOf(seen, "X-Hop").empty());
+    BOOST_TEST(headerOf(seen, "Jackdaw-Caller") == "books");
+    BOOST_TEST(headerOf(seen, "Jackdaw-Expect-Target") == "t1");
+    BOOST_TEST(headerOf(seen, "Jackdaw-Request-Id") == "r1");
+    const std::int64_t left = numberOf(seen, "Jackdaw-Time-Left-Ms", -1);
+    BOOST_TEST((left > 0 && left <= 3000));
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
+{
+    int seen = 0;
+    OneNode one([&](const Request& request) { // The first stays open until the second was answered.
+        return ++seen == 1 ? std::optional<TargetReply>() : answerOk(request);
+    });
+    Tcp::socket socket(one.loop);
+    socket.connect(parseEndpoint(one.node.settings.callerAddress));
+    const std::string both = toBytes(callerRequest(http::verb::get, "/short/1", "r1"))
+        + toBytes(callerRequest(http::verb::get, "/read/2", "r2"));
+    asio::write(socket, asio::buffer(both));
+    beast::flat_buffer buffer;
+    std::vector<Response> answers(2);
+    int done = 0;
+    http::async_read(socket, buffer, answers[0], [&](beast::error_code error, std::size_t) {
+        BOOST_TEST(!error);
+        ++done;
+        http::async_read(socket, buffer, answers[1], [&](beast::error_code second, std::size_t) {
+            BOOST_TEST(!second);
+            ++done;
+        });
+    });
+    runUntil(one.loop, [&] { return done == 2; });
+    BOOST_TEST(answers[0].result_int() == 504U);
+    BOOST_TEST(answers[1].body() == "body of /read/2");
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesFreesTheTarget)
+{
+    OneNode one([](const Request&) { return std::optional<TargetReply>(); });
+    const auto result
+        = one.node.ask(one.node.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r1"));
+    runUntil(one.loop, [&] { return one.target.requests.size() == 1; });
+    one.node.last->cancel();
+    runUntil(one.loop, [&] { return one.target.closedByPeer == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(theRouteLimitsTheWait)
+{
+    OneNode one([](const Request&) { return std::optional<TargetReply>(); });
+    BOOST_TEST(one.call(http::verb::get, "/short/1", "r1").response.result_int() == 504U);
+    BOOST_TEST(one.target.closedByPeer == 1);
+}
+
+BOOST_AUTO_TEST_CASE(withoutAConfigurationNothingIsDenied)
+{
+    asio::io_context loop;
+    MemoryStore store(loop);
+    store.isAway = true;
+    TestNode node(loop, store, "n1", "books", freeAddress(loop));
+    node.start();
+    BOOST_TEST(node.ready() == 503U);
+    const Request request = callerRequest(http::verb::get, "/nowhere/1", "r1");
+    BOOST_TEST(node.askAndWait(node.settings.callerAddress, request).response.result_int() == 503U);
+    store.isAway = false;
+    store.set("configuration", "main", kRoutes);
+    node.awaitReady();
+    BOOST_TEST(node.askAndWait(node.settings.callerAddress, request).response.result_int() == 404U);
+}
+
+BOOST_AUTO_TEST_CASE(anOlderConfigurationIsNeverTaken)
+{
+    OneNode one(answerOk);
+    one.store.set("configuration", "main", "4;read a.example /read/ nobody safe 3000 1");
+    one.store.set("configuration", "main", "6;read a.example /other/ books safe 3000 1");
+    runUntil(
+        one.loop, [&] { return one.call(http::verb::get, "/other/1", "r1").response.result_int() == 200; });
+    one.store.set("configuration", "main", kRoutes);
+    one.store.set("nodes", "wake", "{}");
+    BOOST_TEST(one.call(http::verb::get, "/other/1", "r2").response.result_int() == 200U);
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "r3").response.result_int() == 404U);
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingTargetGetsNoNewWork)
+{
+    OneNode one(answerOk);
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "r1").response.result_int() == 200U);
+    BOOST_TEST(one.node.heartbeat("/draining/t1/100/2") == 200U);
+    const ExchangeResult result = one.call(http::verb::post, "/book/1", "r2");
+    BOOST_TEST(result.response.result_int() == 503U);
+    BOOST_TEST(!result.response[http::field::retry_after].empty());
+    BOOST_TEST(one.node.heartbeat("/ready/t1/100/3") == 200U);
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "r3").response.result_int() == 503U);
+    BOOST_TEST(one.node.heartbeat("/ready/t2/200/1") == 200U);
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "r4").response.result_int() == 200U);
+    BOOST_TEST(one.target.requests.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aLeaveIsAcknowledgedOnlyWhenItWouldOutliveTheNode)
+{
+    OneNode one(answerOk);
+    one.store.isAway = true;
+    const auto result = one.node.ask(
+        one.node.settings.heartbeatAddress, Request { http::verb::post, "/leave/t1/100/0", 11 });
+    runUntil(one.loop, [&] { // It binds before it is acknowledged.
+        return one.call(http::verb::get, "/read/1", "r1").response.result_int() == 503;
+    });
+    BOOST_TEST(!result->has_value());
+    one.store.isAway = false;
+    runUntil(one.loop, [&] { return result->has_value(); });
+    BOOST_TEST((*result)->response.result_int() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedNodeKeepsToTheLeave)
+{
+    OneNode one(answerOk);
+    BOOST_TEST(one.node.heartbeat("/leave/t1/100/0") == 200U);
+    one.node.node.reset();
+    one.node.start();
+    one.node.awaitReady();
+    const int putsBefore = one.store.puts;
+    runUntil(one.loop, [&] { return one.store.puts >= putsBefore; });
+    BOOST_TEST(one.node.heartbeat("/ready/t1/100/9") == 200U); // Sent before the leave, late.
+    BOOST_TEST(one.node.heartbeat("/ready/t1/100/10") == 200U);
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "r1").response.result_int() == 503U);
+    BOOST_TEST(one.target.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedStopEndsWhatIsInFlightAndRefusesTheRest)
+{
+    OneNode one(answerOk);
+    const auto result
+        = one.node.ask(one.node.settings.callerAddress, callerRequest(http::verb::post, "/book/1", "r1"));
+    one.node.node->stop();
+    BOOST_TEST(one.node.ready() == 503U);
+    runUntil(one.loop, [&] { return result->has_value(); });
+    BOOST_TEST(((*result)->end == ExchangeEnd::Complete));
+    BOOST_TEST((*result)->response[http::field::connection] == "close");
+}
+
+BOOST_AUTO_TEST_CASE(callersThatStayAfterAStopAreRefusedBeforeTheEnd)
+{
+    OneNode one(answerOk);
+    one.node.node->stop();
+    unsigned status = 200;
+    while (status == 200)
+        status = one.call(http::verb::post, "/book/1", "r1").response.result_int();
+    BOOST_TEST(status == 503U); // Not a connection that ends without an answer.
+}
+
+BOOST_AUTO_TEST_CASE(nodesFindEachOtherAndForward)
+{
+    asio::io_context loop;
+    MemoryStore store(loop);
+    store.set("configuration", "main", kRoutes);
+    ScriptedTarget target(loop, answerOk);
+    TestNode beside(loop, store, "n1", "books", target.address());
+    TestNode other(loop, store, "n2", "shop", freeAddress(loop));
+    beside.start();
+    other.start();
+    beside.awaitReady();
+    BOOST_TEST(beside.heartbeat("/ready/t1/100/1") == 200U);
+    runUntil(loop, [&] {
+        return other.askAndWait(other.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r"))
+                   .response.result_int()
+            == 200;
+    });
+    BOOST_TEST(headerOf(target.requests.back(), "Jackdaw-Caller") == "shop");
+
+    store.isAway = true; // A node that starts now learns all from the others.
+    other.node.reset();
+    other.start();
+    other.awaitReady();
+    runUntil(loop, [&] {
+        return other.askAndWait(other.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r"))
+                   .response.result_int()
+            == 200;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aLeaveIsKeptByAnotherNodeWhileTheStoreIsAway)
+{
+    asio::io_context loop;
+    MemoryStore store(loop);
+    store.set("configuration", "main", kRoutes);
+    ScriptedTarget target(loop, answerOk);
+    TestNode beside(loop, store, "n1", "books", target.address());
+    TestNode other(loop, store, "n2", "shop", freeAddress(loop));
+    beside.start();
+    other.start();
+    BOOST_TEST(beside.heartbeat("/ready/t1/100/1") == 200U);
+    runUntil(loop, [&] {
+        return other.askAndWait(other.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r"))
+                   .response.result_int()
+            == 200;
+    });
+    store.isAway = true;
+    BOOST_TEST(beside.heartbeat("/leave/t1/100/0") == 200U); // Only the other node can have it.
+    beside.node.reset();
+    beside.start();
+    beside.awaitReady();
+    BOOST_TEST(beside.heartbeat("/ready/t1/100/8") == 200U);
+    BOOST_TEST(beside.heartbeat("/ready/t1/100/9") == 200U);
+    const std::size_t before = target.requests.size();
+    BOOST_TEST(
+        beside.askAndWait(beside.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r"))
+            .response.result_int()
+        == 503U);
+    BOOST_TEST(target.requests.size() == before);
+}
--- /dev/null
+++ b/test/route-table-test.cc
@@ -0,0 +1,104 @@
+// Routes: longest prefix, hosts, division by weight.
+#include "jackdawwall/route-table.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace jackdawwall;
+
+namespace {
+
+Route route(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    Route made;
+    made.name = name;
+    made.host = host;
+    made.prefix = prefix;
+    made.parts = { { "service-" + name, 1 } };
+    return made;
+}
+
+RouteTable table()
+{
+    RouteTable made;
+    addRoute(made, route("short", "a.example", "/x/"));
+    addRoute(made, route("long", "a.example", "/x/y/"));
+    addRoute(made, route("other", "b.example", "/x/"));
+    return made;
+}
+
+struct MatchCase {
+    const char* host;
+    const char* path;
+    const char* name; ///< Empty: no route.
+};
+
+std::ostream& operator<<(std::ostream& out, const MatchCase& match)
+{
+    return out << match.host << match.path;
+}
+
+const MatchCase kMatches[] = {
+    { "a.example", "/x/1", "short" },
+    { "a.example", "/x/y/1", "long" },
+    { "a.example", "/x/y", "short" },
+    { "A.Example:8080", "/x/y/?q=1", "long" },
+    { "b.example", "/x/y/1", "other" },
+    { "a.example", "/x", "" },
+    { "a.example", "/", "" },
+    { "c.example", "/x/1", "" },
+    { "", "/x/1", "" },
+};
+
+struct WeightCase {
+    std::vector<double> weights;
+    int requests;
+    std::vector<int> expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const WeightCase& weights)
+{
+    return out << weights.weights.size() << " parts, " << weights.requests;
+}
+
+const WeightCase kWeights[] = {
+    { { 90, 10 }, 10, { 9, 1 } },
+    { { 1, 1, 2 }, 8, { 2, 2, 4 } },
+    { { 0, 5 }, 7, { 0, 7 } },
+    { { 33, 67 }, 100, { 33, 67 } },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(longestPrefixOfTheHostWins, boost::unit_test::data::make(kMatches), match)
+{
+    const RouteTable routes = table();
+    const Route* found = matchRoute(routes, match.host, match.path);
+    BOOST_TEST((found == nullptr ? "" : found->name) == match.name);
+}
+
+BOOST_DATA_TEST_CASE(partsGetTheirWeights, boost::unit_test::data::make(kWeights), weights)
+{
+    Route divided = route("r", "a.example", "/");
+    divided.parts.clear();
+    for (std::size_t index = 0; index < weights.weights.size(); ++index)
+        divided.parts.push_back({ std::to_string(index), weights.weights[index] });
+    SplitState state;
+    std::map<std::string, int> counts;
+    for (int request = 0; request < weights.requests; ++request)
+        ++counts[chooseService(state, divided)];
+    for (std::size_t index = 0; index < weights.expected.size(); ++index)
+        BOOST_TEST(counts[std::to_string(index)] == weights.expected[index]);
+}
+
+BOOST_AUTO_TEST_CASE(aRouteWithoutWeightHasNoService)
+{
+    Route divided = route("r", "a.example", "/");
+    divided.parts = { { "x", 0 }, { "y", 0 } };
+    SplitState state;
+    BOOST_TEST(chooseService(state, divided).empty());
+    divided.parts.clear();
+    BOOST_TEST(chooseService(state, divided).empty());
+}
--- /dev/null
+++ b/test/target-lifetime-test.cc
@@ -0,0 +1,130 @@
+// Heartbeats of targets: late, out of order, of ended lifetimes, and after this node's own restart.
+#include "jackdawwall/target-lifetime.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace jackdawwall;
+
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch();
+
+Heartbeat heartbeat(const std::string& id, std::uint64_t startedAt, std::uint64_t sequence,
+    TargetPhase phase = TargetPhase::Ready)
+{
+    Heartbeat made;
+    made.lifetime = { id, startedAt };
+    made.sequence = sequence;
+    made.phase = phase;
+    made.slots = 4;
+    return made;
+}
+
+TargetState informed()
+{
+    TargetState state;
+    state.knowsPast = true;
+    return state;
+}
+
+struct LateCase {
+    const char* what;
+    Heartbeat late;
+};
+
+std::ostream& operator<<(std::ostream& out, const LateCase& late)
+{
+    return out << late.what;
+}
+
+const LateCase kLate[] = {
+    { "an earlier heartbeat of the same lifetime", heartbeat("b", 200, 4) },
+    { "the same heartbeat once more", heartbeat("b", 200, 5) },
+    { "an older lifetime under another id", heartbeat("a", 100, 90) },
+    { "an older lifetime under the same id", heartbeat("b", 100, 90) },
+    { "an older lifetime that leaves", heartbeat("a", 100, 91, TargetPhase::Leaving) },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(lateHeartbeatsChangeNothing, boost::unit_test::data::make(kLate), late)
+{
+    TargetState state = informed();
+    noteHeartbeat(state, heartbeat("b", 200, 5), kNow);
+    BOOST_TEST(!noteHeartbeat(state, late.late, kNow).isAccepted);
+    BOOST_TEST(isServing(state));
+    BOOST_TEST(state.lifetime.id == "b");
+    BOOST_TEST(state.lifetime.startedAt == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(aLifetimeThatLeavesNeverBecomesReadyAgain)
+{
+    TargetState state = informed();
+    noteHeartbeat(state, heartbeat("b", 200, 5), kNow);
+    BOOST_TEST(noteHeartbeat(state, heartbeat("b", 200, 6, TargetPhase::Leaving), kNow).hasPhaseChanged);
+    noteHeartbeat(state, heartbeat("b", 200, 7), kNow);
+    BOOST_TEST(!isServing(state));
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingHeartbeatBindsEvenWhenItComesLate)
+{
+    TargetState state = informed();
+    noteHeartbeat(state, heartbeat("b", 200, 9), kNow);
+    noteHeartbeat(state, heartbeat("b", 200, 8, TargetPhase::Leaving), kNow);
+    BOOST_TEST(!isServing(state));
+}
+
+BOOST_AUTO_TEST_CASE(aLeaveWithoutWarningBinds)
+{
+    TargetState state = informed();
+    noteHeartbeat(state, heartbeat("b", 200, 5), kNow);
+    BOOST_TEST(noteLeave(state, { "b", 0 }).hasPhaseChanged);
+    noteHeartbeat(state, heartbeat("b", 200, 6), kNow);
+    BOOST_TEST(!isServing(state));
+}
+
+BOOST_AUTO_TEST_CASE(aLateLeaveOfAnOlderLifetimeDoesNotStopTheNewOne)
+{
+    TargetState state = informed();
+    noteHeartbeat(state, heartbeat("a", 100, 5), kNow);
+    noteHeartbeat(state, heartbeat("b", 200, 1), kNow);
+    noteLeave(state, { "a", 100 });
+    BOOST_TEST(isServing(state));
+    noteLeave(state, { "a", 0 });
+    BOOST_TEST(isServing(state));
+}
+
+BOOST_AUTO_TEST_CASE(aTargetThatStartsAgainUnderItsIdIsNew)
+{
+    TargetState state = informed();
+    noteHeartbeat(state, heartbeat("b", 200, 50), kNow);
+    noteLeave(state, { "b", 200 });
+    const TargetChange change = noteHeartbeat(state, heartbeat("b", 300, 1), kNow);
+    BOOST_TEST(change.isNewLifetime);
+    BOOST_TEST(isServing(state));
+    BOOST_TEST(state.sequence == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedNodeKeepsToWhatItAcknowledged)
+{
+    TargetState state;
+    BOOST_TEST(!isServing(state));
+    noteHeartbeat(state, heartbeat("b", 200, 5), kNow); // Sent before the leave, delivered after the restart.
+    BOOST_TEST(!isServing(state));
+    recallLeave(state, { "b", 200 });
+    state.knowsPast = true;
+    noteHeartbeat(state, heartbeat("b", 200, 6), kNow);
+    BOOST_TEST(!isServing(state));
+    noteHeartbeat(state, heartbeat("c", 300, 1), kNow);
+    BOOST_TEST(isServing(state));
+}
+
+BOOST_AUTO_TEST_CASE(withNobodyToAskTwoHeartbeatsProveReadiness)
+{
+    TargetState state;
+    noteHeartbeat(state, heartbeat("b", 200, 5), kNow);
+    BOOST_TEST(!isServing(state));
+    noteHeartbeat(state, heartbeat("b", 200, 6), kNow);
+    BOOST_TEST(isServing(state));
+}
