Calls wait at the gate as long as their latency objective allows

Cause: an order status of 750 ms beside stock calls of 55 ms was refused after 200 ms of waiting, a multiple of the mean call, and held to one slot of 13 by the reserve for short work, although its objective is 2.5 s. Change: OfferedCall::patience from the route's goal; reserve of one deviation, at most three quarters, on this platform. Ruled out: the limit itself; it stands at the declared slots.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -31,6 +31,7 @@
     std::uint32_t keptFraction = kRankCount; ///< Ranks below this came through all nodes upstream.
     CostKey cost = 0; ///< Work kind and size bucket.
     absl::Time deadline = absl::InfiniteFuture();
+    absl::Duration patience; ///< Longest wait that still leaves a useful answer; 0: set by the target's times.
 };
 
 struct AdmissionOptions {
@@ -44,6 +45,7 @@
     double longFactor = 4; ///< A kind is long when it takes this many times the mean call.
     double leastReserve = 0.25; ///< Share of the limit that long work never takes.
     double mostReserve = 0.9; ///< Share that is kept for short work at most.
+    double reserveDeviations = 3; ///< Variation of the short work's need that the reserve covers.
 };
 
 /// How a started call ended in the target.
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -8,9 +8,10 @@
 namespace jackdawwall {
 namespace {
 
+/// Part of a call's patience that it waits although its rank is not admitted.
+constexpr double kFractionPatience = 0.3;
 constexpr double kMeanWeight = 0.02;
 constexpr double kDemandWeight = 0.3;
-constexpr double kReserveDeviations = 3;
 constexpr std::uint64_t kSmallBodyBytes = 64ULL << 10;
 constexpr std::uint64_t kMediumBodyBytes = 1ULL << 20;
 
@@ -31,7 +32,7 @@
 {
     const double limit = currentLimit(state.limit);
     const double needed = state.shortDemand * state.limit.slowness;
-    const double wanted = needed + kReserveDeviations * std::sqrt(needed);
+    const double wanted = needed + state.options.reserveDeviations * std::sqrt(needed);
     const double reserve
         = std::clamp(wanted, state.options.leastReserve * limit, state.options.mostReserve * limit);
     return std::max(1, static_cast<int>(limit - std::max(1.0, reserve)));
@@ -84,8 +85,10 @@
         state.options.shortestWaitTarget, absl::Seconds(state.options.waitTargetTimes * state.meanTime));
 }
 
-absl::Duration longestWait(const AdmissionState& state)
+absl::Duration longestWait(const AdmissionState& state, const OfferedCall& call)
 {
+    if (call.patience > absl::ZeroDuration())
+        return call.patience;
     return waitTarget(state) * state.options.longestWaitTargets;
 }
 
@@ -104,10 +107,10 @@
 bool isRefusedForOverload(const AdmissionState& state, const OfferedCall& call)
 {
     const absl::Duration wait = expectedWait(state, call.priority);
-    if (wait > longestWait(state))
+    if (wait > longestWait(state, call))
         return true;
     const bool isAboveFraction = call.rank >= admittedFraction(state, call.priority, call.caller);
-    return isAboveFraction && wait > waitTarget(state);
+    return isAboveFraction && wait > std::max(waitTarget(state), call.patience * kFractionPatience);
 }
 
 /// First waiting call that may start now; the end when there is none.
@@ -138,7 +141,7 @@
     const absl::Duration needed = absl::Seconds(expectedSeconds(state, waiting.call.cost));
     if (now + needed > waiting.call.deadline)
         return Reason::Deadline;
-    if (now - waiting.since > longestWait(state))
+    if (now - waiting.since > longestWait(state, waiting.call))
         return Reason::Overload;
     return Reason::None;
 }
--- a/src/relay/caller-gate.cc
+++ b/src/relay/caller-gate.cc
@@ -57,6 +57,7 @@
         call.isRepeatable = route_.isRepeatable;
         call.arrivals = arrivals_;
         call.deadline = deadline_;
+        call.goal = std::max(absl::ZeroDuration(), incoming_->receivedAt + route_.goal - steadyNow());
         return call;
     }
 
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -25,6 +25,7 @@
     setHeader(request, kPriorityHeader, absl::StrCat(static_cast<int>(call.priority)));
     setHeader(request, kRepeatableHeader, call.isRepeatable ? "1" : "0");
     setHeader(request, kTimeLeftHeader, absl::StrCat(absl::ToInt64Milliseconds(call.deadline - now)));
+    setHeader(request, kGoalHeader, absl::StrCat(absl::ToInt64Milliseconds(call.goal)));
     setHeader(request, kArrivalsHeader, absl::StrCat(call.arrivals));
     setHeader(request, kCallerHeader, call.caller);
     request.prepare_payload();
@@ -47,9 +48,10 @@
     call.isRepeatable = headerOf(request, kRepeatableHeader) == "1";
     call.arrivals = static_cast<int>(numberOf(request, kArrivalsHeader, 0));
     call.deadline = now + absl::Milliseconds(left);
+    call.goal = absl::Milliseconds(numberOf(request, kGoalHeader, left));
     removeHeaders(request,
-        { kServiceHeader, kRouteHeader, kPriorityHeader, kRepeatableHeader, kTimeLeftHeader, kArrivalsHeader,
-            kCallerHeader });
+        { kServiceHeader, kRouteHeader, kPriorityHeader, kRepeatableHeader, kTimeLeftHeader, kGoalHeader,
+            kArrivalsHeader, kCallerHeader });
     call.request = std::move(request);
     return hop;
 }
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -22,6 +22,7 @@
 inline constexpr char kPriorityHeader[] = "Jackdaw-Hop-Priority";
 inline constexpr char kRepeatableHeader[] = "Jackdaw-Hop-Repeatable";
 inline constexpr char kTimeLeftHeader[] = "Jackdaw-Hop-Left-Ms";
+inline constexpr char kGoalHeader[] = "Jackdaw-Hop-Goal-Ms";
 inline constexpr char kArrivalsHeader[]
     = "Jackdaw-Hop-Arrivals"; ///< Targets that the request reached before.
 inline constexpr char kCallerHeader[] = "Jackdaw-Hop-Caller";
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -7,6 +7,10 @@
 /// used only when the near one is clearly busier.
 constexpr absl::Duration kRemoteCost = absl::Milliseconds(150);
 
+/// Long work keeps a quarter of the slots at least: the queue's order already puts urgent short work first.
+constexpr double kMostReserve = 0.75;
+constexpr double kReserveDeviations = 1;
+
 Member selfMember(const RelaySettings& settings)
 {
     Member self;
@@ -22,6 +26,8 @@
     GateOptions options;
     options.targetAddress = settings.targetAddress;
     options.names = settings.names;
+    options.admission.mostReserve = kMostReserve;
+    options.admission.reserveDeviations = kReserveDeviations;
     options.budget.ratio = settings.repeatRatio;
     options.budget.extra = settings.repeatExtra;
     options.budget.window = settings.repeatWindow;
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -12,6 +12,8 @@
 constexpr std::array<absl::string_view, 4> kEndTexts { "answered", "refused", "rejected", "unknown" };
 /// Least time left that a target can use.
 constexpr absl::Duration kLeastTime = absl::Milliseconds(5);
+/// Wait that every call may have at the gate.
+constexpr absl::Duration kLeastPatience = absl::Milliseconds(20);
 constexpr absl::Duration kConnectTime = absl::Milliseconds(500);
 constexpr absl::Duration kReuse = absl::Seconds(30);
 
@@ -74,6 +76,7 @@
     offered.rank = requestRank(held->call.requestId);
     offered.cost = costKey(held->call.route, held->call.request.body().size());
     offered.deadline = held->call.deadline;
+    offered.patience = std::max(kLeastPatience, held->call.goal - expectedTime(admission_.limit, offered.cost, absl::ZeroDuration()));
     const Decision decision = offerCall(admission_, offered, now);
     if (decision.verdict == Verdict::Start)
         run(id);
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -26,6 +26,7 @@
     bool isRepeatable = false;
     int arrivals = 0; ///< Targets that the request reached, or may have reached, before.
     absl::Time deadline;
+    absl::Duration goal; ///< What is left of the latency objective.
 };
 
 enum class GateEnd : std::uint8_t {
