--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -31,7 +31,8 @@
     std::uint32_t keptFraction = kRankCount; ///< Ranks below this came through all nodes upstream.
     CostKey cost = 0; ///< Work kind and size bucket.
     absl::Time deadline = absl::InfiniteFuture();
-    absl::Duration patience; ///< Longest wait that still leaves a useful answer; 0: set by the target's times.
+    absl::Duration
+        patience; ///< Longest wait that still leaves a useful answer; 0: set by the target's times.
 };
 
 struct AdmissionOptions {
--- a/src/relay/caller-gate.cc
+++ b/src/relay/caller-gate.cc
@@ -18,6 +18,10 @@
 /// Part of the time left that a caller is asked to wait at most; callers keep up to a third.
 constexpr double kRetryAfterShare = 0.3;
 constexpr absl::Duration kPeerConnectTime = absl::Milliseconds(400);
+/// Part of the time before the end of a stopping process that a call may wait for its turn.
+constexpr double kStopPatience = 0.33;
+
+} // namespace
 
 /// One request of a caller on its way.
 class CallerCall : public std::enable_shared_from_this<CallerCall> {
@@ -57,7 +61,10 @@
         call.isRepeatable = route_.isRepeatable;
         call.arrivals = arrivals_;
         call.deadline = deadline_;
-        call.goal = std::max(absl::ZeroDuration(), incoming_->receivedAt + route_.goal - steadyNow());
+        const absl::Time useful = incoming_->receivedAt + route_.goal;
+        const absl::Time now = steadyNow();
+        call.goal
+            = std::max(absl::ZeroDuration(), std::min(useful - now, (state_.stopsAt - now) * kStopPatience));
         return call;
     }
 
@@ -170,6 +177,8 @@
         answer(std::move(response));
     }
 
+public:
+    /// Breaks off what is under way and answers.
     void onDeadline()
     {
         if (isDone_)
@@ -181,6 +190,7 @@
             makeAnswer(http::status::gateway_timeout, "the time limit has passed\n"));
     }
 
+private:
     void abandon()
     {
         if (isDone_)
@@ -223,8 +233,6 @@
     bool isDone_ = false;
 };
 
-} // namespace
-
 void CallerGate::accept(const IncomingPtr& incoming)
 {
     const Request& request = incoming->request;
@@ -245,7 +253,19 @@
     }
     const absl::Duration callerTime = absl::Milliseconds(
         numberOf(request, state_.settings.names.timeLeft, absl::ToInt64Milliseconds(route->timeout)));
-    std::make_shared<CallerCall>(state_, incoming, *route, callerTime)->start();
+    const auto call = std::make_shared<CallerCall>(state_, incoming, *route, callerTime);
+    const auto place = calls_.insert(calls_.end(), call);
+    incoming->onSettled = [this, place] { calls_.erase(place); };
+    call->start();
+}
+
+void CallerGate::endAll()
+{
+    const auto calls = calls_; // Each answer takes its call off the list.
+    for (const auto& held : calls) {
+        if (const auto call = held.lock())
+            call->onDeadline();
+    }
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/caller-gate.h
+++ b/src/relay/caller-gate.h
@@ -5,6 +5,9 @@
 #include "relay/http-listener.h"
 #include "relay/relay-state.h"
 
+#include <list>
+#include <memory>
+
 namespace jackdawwall::relay {
 
 class CallerGate {
@@ -16,9 +19,12 @@
 
     /// Takes a request of a caller or of the own target.
     void accept(const IncomingPtr& incoming);
+    /// Answers all that is still open; for the end of the process.
+    void endAll();
 
 private:
     RelayState& state_;
+    std::list<std::weak_ptr<class CallerCall>> calls_;
 };
 
 } // namespace jackdawwall::relay
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -22,7 +22,6 @@
 struct Incoming {
     Request request;
     absl::Time receivedAt; ///< When its last byte was read.
-    asio::ip::address remote;
     std::function<void()> onAbandoned; ///< Called when the caller left before the answer.
     std::function<void()> onSettled; ///< Called once when it was answered or abandoned.
 
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -51,8 +51,6 @@
     , socket_(std::move(socket))
     , since_(steadyNow())
 {
-    beast::error_code error;
-    remote_ = socket_.remote_endpoint(error).address();
     setSocketOptions(socket_);
 }
 
@@ -127,7 +125,6 @@
     auto incoming = std::make_shared<Incoming>();
     incoming->request = parser_->release();
     incoming->receivedAt = steadyNow();
-    incoming->remote = remote_;
     incoming->session = weak_from_this();
     parser_.reset();
     hasBegun_ = false;
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -40,7 +40,6 @@
 
     HttpListener& listener_;
     Tcp::socket socket_;
-    asio::ip::address remote_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::deque<IncomingPtr> pending_;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -12,6 +12,8 @@
 constexpr absl::Duration kStopRetryAfter = absl::Milliseconds(500);
 /// Time for callers to close their connections once all work is done.
 constexpr absl::Duration kCloseTime = absl::Milliseconds(400);
+/// Before the end of the process; what is still open then is answered.
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(150);
 /// Kept of the stop time for the end of the process itself.
 constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
 
@@ -39,7 +41,6 @@
     , heartbeats_(loop, state_.settings.heartbeatAddress,
           [this](const IncomingPtr& incoming) { onTargetRequest(incoming); })
     , tickTimer_(loop)
-    , targetIp_(parseEndpoint(state_.settings.targetAddress).address())
 {
     ListenerLimits peerLimits;
     peerLimits.headerBytes = 64U << 10;
@@ -66,9 +67,7 @@
 
 void RelayNode::onCallerRequest(const IncomingPtr& incoming)
 {
-    // Calls of the own target belong to work in flight.
-    const bool isLate = state_.isStopping && steadyNow() - stoppingSince_ >= kCallerDrainTime;
-    if (isLate && incoming->remote != targetIp_) {
+    if (state_.isStopping && steadyNow() - stoppingSince_ >= kCallerDrainTime) {
         incoming->answer(
             makeAnswer(http::status::service_unavailable, "not run; stopping\n", kStopRetryAfter));
         return;
@@ -220,6 +219,7 @@
     if (std::exchange(state_.isStopping, true))
         return;
     stoppingSince_ = steadyNow();
+    state_.stopsAt = stoppingSince_ + state_.settings.stopTime - kStopReserve;
     logEvent(LogLevel::Info, "stopping", { { "open", callers_.openRequests() + peers_.openRequests() } });
     callers_.startClosing();
     updateSelf(0);
@@ -234,7 +234,10 @@
         callers_.closeIdle();
     const bool isClosed = callers_.sessionCount() == 0 || since >= kCallerDrainTime + kCloseTime;
     const bool isQuiet = since >= kCallerDrainTime && open == 0 && isClosed;
-    if (!isQuiet && since < state_.settings.stopTime - kStopReserve)
+    const absl::Time now = steadyNow();
+    if (now >= state_.stopsAt - kAnswerTime)
+        callerGate_.endAll();
+    if (!isQuiet && now < state_.stopsAt)
         return;
     logEvent(LogLevel::Info, "stopped", { { "open", open } });
     loop_.stop();
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -46,7 +46,6 @@
     HttpListener ready_;
     HttpListener heartbeats_;
     asio::steady_timer tickTimer_;
-    asio::ip::address targetIp_;
     absl::Time stoppingSince_;
 };
 
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -34,6 +34,7 @@
     Configuration configuration;
     TargetState target;
     bool isStopping = false;
+    absl::Time stopsAt = absl::InfiniteFuture(); ///< When the process has to be gone.
     absl::flat_hash_map<std::string, std::vector<Candidate>> candidates; ///< By service; see membersChanged.
 
     RouteVersion version() const { return configuration.table ? configuration.table->version : 0; }
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -73,10 +73,12 @@
     offered.id = id;
     offered.priority = held->call.priority;
     offered.caller = stableHash(held->call.caller);
-    offered.rank = requestRank(held->call.requestId);
+    // Only the queue refuses: a refusal by rank would waste what nodes and targets upstream have done.
+    offered.rank = 0;
     offered.cost = costKey(held->call.route, held->call.request.body().size());
     offered.deadline = held->call.deadline;
-    offered.patience = std::max(kLeastPatience, held->call.goal - expectedTime(admission_.limit, offered.cost, absl::ZeroDuration()));
+    offered.patience = std::max(
+        kLeastPatience, held->call.goal - expectedTime(admission_.limit, offered.cost, absl::ZeroDuration()));
     const Decision decision = offerCall(admission_, offered, now);
     if (decision.verdict == Verdict::Start)
         run(id);
@@ -90,11 +92,11 @@
     const absl::Time now = steadyNow();
     const std::shared_ptr<Held> held = calls_.at(id);
     if (now + kLeastTime > held->call.deadline) {
-        finish(id, { GateEnd::Refused, Reason::Deadline, {}, waiting() }, RunEnd::Lost);
+        finish(id, { GateEnd::Refused, Reason::Deadline, {}, 0 }, RunEnd::Lost);
         return;
     }
     if (held->call.arrivals > 0 && !takeRepeat(budget_, options_.budget, targetCount_, now)) {
-        finish(id, { GateEnd::Refused, Reason::RetryLimit, {}, waiting() }, RunEnd::Lost);
+        finish(id, { GateEnd::Refused, Reason::RetryLimit, {}, 0 }, RunEnd::Lost);
         return;
     }
     if (held->call.arrivals == 0)
@@ -125,25 +127,25 @@
 GateResult TargetGate::judge(const Held& held, ExchangeResult& result) const
 {
     if (result.end == ExchangeEnd::NotSent)
-        return { GateEnd::Refused, Reason::Unreachable, {}, waiting() };
+        return { GateEnd::Refused, Reason::Unreachable, {}, 0 };
     if (result.end != ExchangeEnd::Complete) {
         const Reason reason = result.end == ExchangeEnd::Lost ? Reason::ConnectionLost : Reason::Truncated;
-        return { GateEnd::Unknown, reason, {}, waiting() };
+        return { GateEnd::Unknown, reason, {}, 0 };
     }
     const Response& response = result.response;
     const bool isNotRun = !headerOf(response, options_.names.notRun).empty()
         || response.result() == http::status::misdirected_request;
     if (isNotRun)
-        return { GateEnd::Rejected, Reason::TargetShed, {}, waiting() };
+        return { GateEnd::Rejected, Reason::TargetShed, {}, 0 };
     const absl::string_view id = headerOf(response, options_.names.requestId);
     const bool isForeign = !id.empty() && id != held.call.requestId;
     const bool isEncoded = response.count(http::field::content_encoding) != 0;
     const bool isUnsealed = headerOf(response, options_.names.seal).empty();
     if (isForeign || isEncoded || isUnsealed)
-        return { GateEnd::Unknown, Reason::TargetFailed, {}, waiting() };
+        return { GateEnd::Unknown, Reason::TargetFailed, {}, 0 };
     frame(result.response, held.call.request.method() == http::verb::head);
     return { GateEnd::Answered, isSuccess(response) ? Reason::None : Reason::TargetFailed,
-        std::move(result.response), waiting() };
+        std::move(result.response), 0 };
 }
 
 void TargetGate::onAnswer(CallId id, ExchangeResult result)
@@ -173,6 +175,7 @@
     const std::shared_ptr<Held> held = calls_.at(id);
     calls_.erase(id);
     const Release release = finishCall(admission_, id, end, absl::ZeroDuration(), steadyNow());
+    result.waiting = waiting();
     held->done(std::move(result));
     apply(release);
 }
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -279,6 +279,23 @@
     BOOST_TEST(status == 503U); // Not a connection that ends without an answer.
 }
 
+BOOST_AUTO_TEST_CASE(whatIsOpenAtTheEndOfAStopIsAnswered)
+{
+    OneNode one([](const Request&) { return std::optional<TargetReply>(); });
+    one.node.node.reset();
+    one.node.settings.stopTime = absl::Seconds(1);
+    one.node.start();
+    one.node.awaitReady();
+    BOOST_REQUIRE_EQUAL(one.node.heartbeat("/ready/t1/100/2"), 200U);
+    const auto result
+        = one.node.ask(one.node.settings.callerAddress, callerRequest(http::verb::post, "/book/1", "r1"));
+    runUntil(one.loop, [&] { return !one.target.requests.empty(); });
+    one.node.node->stop();
+    runUntil(one.loop, [&] { return result->has_value(); });
+    BOOST_TEST(((*result)->end == ExchangeEnd::Complete));
+    BOOST_TEST((*result)->response.result_int() == 504U);
+}
+
 BOOST_AUTO_TEST_CASE(nodesFindEachOtherAndForward)
 {
     asio::io_context loop;
