A near target is always weighed against a far one

Change: one of the two choices is near and one far where there are both. Test failed before. Ruled out: a larger cost for far targets alone; it does not matter which of two far targets wins.

--- a/src/routing.cc
+++ b/src/routing.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace jackdawwall {
 namespace {
@@ -69,6 +70,22 @@
     return ahead * rememberedLatency(state, *view, now) + distance;
 }
 
+/// Two of the choices at random; one in this data centre and one elsewhere where there are both, so that a near
+/// target is always weighed.
+std::pair<int, int> sampleTwo(
+    absl::Span<const Candidate> candidates, const std::vector<int>& choices, Generator& generator)
+{
+    std::vector<int> near;
+    std::vector<int> far;
+    for (const int choice : choices)
+        (candidates[static_cast<std::size_t>(choice)].isLocal ? near : far).push_back(choice);
+    if (!near.empty() && !far.empty())
+        return { near[generator() % near.size()], far[generator() % far.size()] };
+    const std::size_t first = generator() % choices.size();
+    const std::size_t offset = 1 + generator() % (choices.size() - 1);
+    return { choices[first], choices[(first + offset) % choices.size()] };
+}
+
 } // namespace
 
 std::vector<Candidate> chooseSubset(
@@ -97,10 +114,7 @@
         return -1;
     if (choices.size() == 1)
         return choices.front();
-    const std::size_t first = generator() % choices.size();
-    const std::size_t offset = 1 + generator() % (choices.size() - 1);
-    const int left = choices[first];
-    const int right = choices[(first + offset) % choices.size()];
+    const auto [left, right] = sampleTwo(candidates, choices, generator);
     const double leftScore = score(state, candidates[static_cast<std::size_t>(left)], now);
     const double rightScore = score(state, candidates[static_cast<std::size_t>(right)], now);
     return leftScore <= rightScore ? left : right;
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -60,6 +60,22 @@
     BOOST_TEST(later > 0);
 }
 
+BOOST_AUTO_TEST_CASE(workStaysInTheOwnDataCentreUntilItIsBusierThere)
+{
+    RoutingState state;
+    Generator generator(1);
+    std::vector<Candidate> list = candidates(4);
+    for (std::size_t index = 1; index < list.size(); ++index)
+        list[index].isLocal = false;
+    for (const Candidate& candidate : list)
+        noteEnd(state, candidate.address, { true, false, absl::Milliseconds(2), 0 }, kStart);
+    for (int round = 0; round < 100; ++round)
+        BOOST_TEST(pickTarget(state, list, {}, generator, kStart) == 0);
+    noteEnd(state, "t0", { true, false, absl::Milliseconds(2), 500 }, kStart);
+    for (int round = 0; round < 100; ++round)
+        BOOST_TEST(pickTarget(state, list, {}, generator, kStart) != 0);
+}
+
 BOOST_AUTO_TEST_CASE(subsetsAreStableAndPreferTheOwnDataCentre)
 {
     std::vector<Candidate> members = candidates(40);
