--- a/src/node/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -1,4 +1,4 @@
-#include "node/metrics.h"
+#include "adapter/metrics.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
--- a/src/node/node-state.h
+++ b/src/node/node-state.h
@@ -5,7 +5,7 @@
 
 #include "adapter/connection-pool.h"
 #include "adapter/platform-client.h"
-#include "node/metrics.h"
+#include "adapter/metrics.h"
 #include "node/settings.h"
 
 #include "absl/base/thread_annotations.h"
--- a/src/relay/caller-gate.cc
+++ b/src/relay/caller-gate.cc
@@ -1,6 +1,5 @@
 #include "relay/caller-gate.h"
 
-#include "adapter/log.h"
 #include "relay/hop-wire.h"
 
 #include "absl/strings/str_cat.h"
@@ -111,6 +110,8 @@
         noteResult(result);
         lastReason_ = result.reason;
         if (result.end == GateEnd::Answered) {
+            isTargetsAnswer_ = true;
+            logEnd("answered", result.response.result_int(), true);
             answer(std::move(result.response));
             return;
         }
@@ -118,10 +119,12 @@
             ++arrivals_;
         if (result.end == GateEnd::Unknown)
             mayHaveRun_ = true;
-        if (mayTryAgain(result))
+        if (mayTryAgain(result)) {
+            state_.metrics.countRetry();
             sendNext();
-        else
+        } else {
             giveUp(result.reason);
+        }
     }
 
     void noteResult(const GateResult& result)
@@ -161,19 +164,32 @@
 
     void answer(Response response)
     {
+        const bool isOk = http::to_status_class(response.result()) == http::status_class::successful;
+        const Outcome failure = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun;
+        const Outcome outcome = isTargetsAnswer_ ? Outcome::Failed : failure;
+        state_.metrics.countCall({ route_.priority, isOk ? Outcome::Ok : outcome, lastReason_ },
+            steadyNow() - incoming_->receivedAt);
         isDone_ = true;
         timer_.cancel();
         incoming_->answer(std::move(response));
     }
 
-    void finish(absl::string_view outcome, Reason reason, Response response)
+    void logEnd(absl::string_view outcome, unsigned status, bool isExpected)
     {
-        logEvent(LogLevel::Info, "call-ended",
-            { { "request", headerOf(incoming_->request, state_.settings.names.requestId) },
-                { "route", route_.name }, { "outcome", outcome }, { "reason", toText(reason) },
-                { "status", response.result_int() }, { "tried", tried_.size() }, { "arrivals", arrivals_ },
+        const absl::string_view id = headerOf(incoming_->request, state_.settings.names.requestId);
+        state_.requestLog.note("call-ended", id, isExpected,
+            { { "request", id }, { "route", route_.name }, { "service", service_ }, { "outcome", outcome },
+                { "reason", toText(lastReason_) }, { "status", status }, { "node", address_ },
+                { "tried", tried_.size() }, { "arrivals", arrivals_ },
                 { "after_ms", absl::ToInt64Milliseconds(steadyNow() - incoming_->receivedAt) },
+                { "limit_ms", absl::ToInt64Milliseconds(deadline_ - incoming_->receivedAt) },
                 { "config", state_.version() } });
+    }
+
+    void finish(absl::string_view outcome, Reason reason, Response response)
+    {
+        lastReason_ = reason;
+        logEnd(outcome, response.result_int(), false);
         answer(std::move(response));
     }
 
@@ -228,6 +244,7 @@
     Reason lastReason_ = Reason::None;
     int arrivals_ = 0; ///< Targets that the request reached or may have reached.
     int refusals_ = 0;
+    bool isTargetsAnswer_ = false; ///< The answer given is the target's own.
     bool isSent_ = false; ///< An attempt is under way.
     bool mayHaveRun_ = false;
     bool isDone_ = false;
@@ -244,7 +261,7 @@
     const Route* route = matchRoute(
         *state_.configuration.table, fromBeast(request[http::field::host]), fromBeast(request.target()));
     if (route == nullptr) {
-        logEvent(LogLevel::Info, "no-route",
+        state_.requestLog.note("no-route", headerOf(request, state_.settings.names.requestId), false,
             { { "request", headerOf(request, state_.settings.names.requestId) },
                 { "host", fromBeast(request[http::field::host]) }, { "target", fromBeast(request.target()) },
                 { "config", state_.version() } });
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -3,6 +3,8 @@
 #include "adapter/log.h"
 #include "relay/hop-wire.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace jackdawwall::relay {
 namespace {
 
@@ -40,6 +42,8 @@
           [this](const IncomingPtr& incoming) { onReadyRequest(incoming); })
     , heartbeats_(loop, state_.settings.heartbeatAddress,
           [this](const IncomingPtr& incoming) { onTargetRequest(incoming); })
+    , metrics_(loop, state_.settings.metricsAddress,
+          [this](const IncomingPtr& incoming) { onMetricsRequest(incoming); })
     , tickTimer_(loop)
 {
     ListenerLimits peerLimits;
@@ -56,6 +60,7 @@
 void RelayNode::tick()
 {
     state_.gate.tick(steadyNow());
+    state_.requestLog.tick(steadyNow());
     if (state_.isStopping)
         checkStopped();
     tickTimer_.expires_after(kTickInterval);
@@ -114,6 +119,22 @@
                              : makeAnswer(http::status::service_unavailable, "not ready\n"));
 }
 
+void RelayNode::onMetricsRequest(const IncomingPtr& incoming) const
+{
+    const auto gauge = [](absl::string_view name, auto value) {
+        return absl::StrCat("# TYPE ", name, " gauge\n", name, " ", value, "\n");
+    };
+    const std::string gauges = absl::StrCat(gauge("jackdaw_configuration_version", state_.version()),
+        gauge("jackdaw_target_running", state_.gate.running()),
+        gauge("jackdaw_target_waiting", state_.gate.waiting()),
+        gauge("jackdaw_target_serving", isServing(state_.target) ? 1 : 0),
+        gauge("jackdaw_members", state_.membership.members.size()),
+        gauge("jackdaw_caller_connections", callers_.sessionCount()),
+        gauge("jackdaw_connections_opened", state_.pool.opened()),
+        gauge("jackdaw_log_lines_dropped", droppedLogEvents()));
+    incoming->answer(makeAnswer(http::status::ok, state_.metrics.expose(gauges)));
+}
+
 void RelayNode::onTargetRequest(const IncomingPtr& incoming)
 {
     const TargetMessage message = port_.decodeTargetMessage(incoming->request);
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -24,6 +24,7 @@
     void onCallerRequest(const IncomingPtr& incoming);
     void onPeerRequest(const IncomingPtr& incoming);
     void onReadyRequest(const IncomingPtr& incoming) const;
+    void onMetricsRequest(const IncomingPtr& incoming) const;
     void onTargetRequest(const IncomingPtr& incoming);
     void onLeave(const TargetChange& change, const IncomingPtr& incoming);
     void onConfiguration(const std::string& document);
@@ -45,6 +46,7 @@
     HttpListener peers_;
     HttpListener ready_;
     HttpListener heartbeats_;
+    HttpListener metrics_;
     asio::steady_timer tickTimer_;
     absl::Time stoppingSince_;
 };
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -30,6 +30,7 @@
     settings.peerAddress = reader.address("peerAddress", "127.0.0.1:0");
     settings.readyAddress = reader.address("readyAddress", "127.0.0.1:0");
     settings.heartbeatAddress = reader.address("heartbeatAddress", "127.0.0.1:0");
+    settings.metricsAddress = reader.address("metricsAddress", "127.0.0.1:0");
     settings.targetAddress = reader.address("targetAddress", "");
     settings.platformAddress = reader.address("platformAddress", "");
     settings.memoryBytes
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -20,6 +20,7 @@
     std::string readyAddress; ///< Answers whether callers may be sent here.
     std::string heartbeatAddress; ///< For the own target's heartbeats.
     std::string targetAddress; ///< The own target.
+    std::string metricsAddress; ///< For scrapes of the metrics.
     std::string platformAddress;
     std::size_t memoryBytes = 256U << 20;
     absl::Duration gossipInterval = absl::Milliseconds(500); ///< Between two rounds with the neighbours.
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -40,7 +40,7 @@
     : loop(ioLoop)
     , settings(std::move(given))
     , pool(ioLoop)
-    , gate(ioLoop, pool, gateOptions(settings))
+    , gate(pool, requestLog, gateOptions(settings))
     , membership(makeMembership(selfMember(settings), {}, steadyNow()))
     , generator(stableHash(settings.process) ^ static_cast<std::uint64_t>(absl::ToUnixNanos(steadyNow())))
 {
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -1,11 +1,13 @@
 /// What the parts of one node's event loop share.
 #pragma once
 
+#include "adapter/metrics.h"
 #include "jackdawwall/membership.h"
 #include "jackdawwall/route-table.h"
 #include "jackdawwall/routing.h"
 #include "relay/names.h"
 #include "relay/relay-settings.h"
+#include "relay/request-log.h"
 #include "relay/target-gate.h"
 #include "relay/upstream.h"
 
@@ -26,6 +28,8 @@
     asio::io_context& loop;
     RelaySettings settings;
     UpstreamPool pool;
+    Metrics metrics;
+    RequestLog requestLog;
     TargetGate gate;
     MembershipState membership;
     RoutingState routing;
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -1,7 +1,5 @@
 #include "relay/target-gate.h"
 
-#include "adapter/log.h"
-
 #include "absl/strings/str_cat.h"
 
 #include <array>
@@ -48,8 +46,9 @@
     return GateEnd::Unknown;
 }
 
-TargetGate::TargetGate(asio::io_context& /*loop*/, UpstreamPool& pool, GateOptions options)
+TargetGate::TargetGate(UpstreamPool& pool, RequestLog& log, GateOptions options)
     : pool_(pool)
+    , log_(log)
     , options_(std::move(options))
     , endpoint_(parseEndpoint(options_.targetAddress))
     , admission_(makeAdmissionState(options_.admission))
@@ -154,19 +153,19 @@
     if (found == calls_.end())
         return;
     const std::shared_ptr<Held> held = found->second;
+    const unsigned status = result.response.result_int();
     GateResult judged = judge(*held, result);
     RunEnd end = RunEnd::Lost;
     if (judged.end == GateEnd::Answered)
         end = RunEnd::Completed;
     if (judged.end == GateEnd::Rejected)
         end = RunEnd::RefusedByTarget;
-    if (judged.end != GateEnd::Answered) {
-        logEvent(LogLevel::Info, "target-failed",
-            { { "request", held->call.requestId }, { "route", held->call.route },
-                { "end", toText(judged.end) }, { "reason", jackdawwall::toText(judged.reason) },
-                { "status", result.response.result_int() },
-                { "after_ms", absl::ToInt64Milliseconds(steadyNow() - held->since) } });
-    }
+    log_.note("target-call", held->call.requestId, judged.end == GateEnd::Answered,
+        { { "request", held->call.requestId }, { "route", held->call.route },
+            { "target", target_.lifetime.id }, { "end", toText(judged.end) },
+            { "reason", jackdawwall::toText(judged.reason) }, { "status", status },
+            { "arrivals_before", held->call.arrivals }, { "running", running() }, { "waiting", waiting() },
+            { "after_ms", absl::ToInt64Milliseconds(steadyNow() - held->since) } });
     finish(id, std::move(judged), end);
 }
 
@@ -187,6 +186,11 @@
         return;
     const std::shared_ptr<Held> held = found->second;
     calls_.erase(found);
+    log_.note("target-refused", held->call.requestId, reason == Reason::Leaving,
+        { { "request", held->call.requestId }, { "route", held->call.route },
+            { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
+            { "running", running() }, { "waiting", waiting() },
+            { "left_ms", absl::ToInt64Milliseconds(held->call.deadline - steadyNow()) } });
     held->done({ GateEnd::Refused, reason, {}, waiting() });
 }
 
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -6,6 +6,7 @@
 #include "jackdawwall/arrival-budget.h"
 #include "jackdawwall/target-lifetime.h"
 #include "relay/names.h"
+#include "relay/request-log.h"
 #include "relay/upstream.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -62,7 +63,7 @@
 
 class TargetGate {
 public:
-    TargetGate(asio::io_context& loop, UpstreamPool& pool, GateOptions options);
+    TargetGate(UpstreamPool& pool, RequestLog& log, GateOptions options);
 
     /// `done` may be called before this returns. The id cancels the call.
     CallId offer(GateCall call, GateDone done);
@@ -94,6 +95,7 @@
     std::string requestBytes(const GateCall& call, absl::Time now) const;
 
     UpstreamPool& pool_;
+    RequestLog& log_;
     GateOptions options_;
     Tcp::endpoint endpoint_;
     TargetState target_;
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -272,6 +272,7 @@
         settings.peerAddress = freeAddress(loop);
         settings.readyAddress = freeAddress(loop);
         settings.heartbeatAddress = freeAddress(loop);
+        settings.metricsAddress = freeAddress(loop);
         settings.targetAddress = targetAddress;
         settings.gossipInterval = absl::Milliseconds(50);
         settings.stopTime = absl::Seconds(6);
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -118,6 +118,20 @@
     BOOST_TEST(one.target.opened == 2);
 }
 
+BOOST_AUTO_TEST_CASE(metricsTellHowCallsEnded)
+{
+    OneNode one(answerOk);
+    one.call(http::verb::get, "/read/1", "r1");
+    one.node.heartbeat("/draining/t1/100/2");
+    one.call(http::verb::get, "/read/1", "r2");
+    const std::string text
+        = one.node.askAndWait(one.node.settings.metricsAddress, Request { http::verb::get, "/metrics", 11 })
+              .response.body();
+    BOOST_TEST(text.find("outcome=\"ok\",reason=\"none\"} 1") != std::string::npos);
+    BOOST_TEST(text.find("outcome=\"not-run\"") != std::string::npos);
+    BOOST_TEST(text.find("jackdaw_configuration_version 5") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(theTargetSeesTheRequestAndItsContext)
 {
     OneNode one(answerOk);
