--- /dev/null
+++ b/test/platform-decode-test.cc
@@ -0,0 +1,174 @@
+// The platform's documents: what is read, what is refused, and seeded mutations of both.
+#include "decode.h"
+
+#include "relay/peer-message.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace jackdawwall;
+using jackdawwall::platform::decodeConfiguration;
+using jackdawwall::platform::decodeTargetMessage;
+using jackdawwall::relay::TargetMessage;
+
+namespace {
+
+constexpr char kConfiguration[]
+    = R"({"version":7,"routes":[{"name":"a","host":"A.example","prefix":"/x/","kind":"unsafe","timeout_ms":1500,)"
+      R"("goal_ms":2000,"priority":0,"service":"s1","attempts":2},{"name":"b","host":"b.example","prefix":"/y/",)"
+      R"("kind":"safe","timeout_ms":1200,"goal_ms":1500,"priority":9,"split":[{"service":"s1","weight":90},)"
+      R"({"service":"s2","weight":10}],"attempts":2}],"services":[{"name":"s1","health_path":"/h"}],)"
+      R"("limits":{"max_header_bytes":100,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+constexpr char kHeartbeat[]
+    = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","capacity":36,)"
+      R"("state":"ready","cold_left_ms":500,"sequence":4,"born":1790030755000})";
+
+relay::Request request(const std::string& call, const std::string& body)
+{
+    relay::Request made { relay::http::verb::post, "/jackdawwall/rpc?call=instances." + call, 11 };
+    made.body() = body;
+    return made;
+}
+
+struct RefusedCase {
+    const char* call;
+    const char* body;
+};
+
+std::ostream& operator<<(std::ostream& out, const RefusedCase& refused)
+{
+    return out << refused.call << " " << refused.body;
+}
+
+const RefusedCase kRefused[] = {
+    { "heartbeat&of=i-1", "" },
+    { "heartbeat&of=i-1", "[]" },
+    { "heartbeat&of=i-1", "{\"state\":\"ready\"" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":"ready"})" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":"well","sequence":4})" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":7,"sequence":4})" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":"ready","sequence":"4"})" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":"ready","sequence":-4})" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":"ready","sequence":4,"born":"x"})" },
+    { "heartbeat&of=i-1", R"({"service":"s1","state":"ready","sequence":4,"capacity":[]})" },
+    { "heartbeat&of=i-1", R"({"service":{},"state":"ready","sequence":4})" },
+    { "heartbeat&of=", kHeartbeat },
+    { "other&of=i-1", kHeartbeat },
+    { "leave&of=i-1", R"({"born":{}})" },
+};
+
+struct BadConfiguration {
+    const char* text;
+};
+
+std::ostream& operator<<(std::ostream& out, const BadConfiguration& bad)
+{
+    return out << bad.text;
+}
+
+const BadConfiguration kBadConfigurations[] = {
+    { "" },
+    { "7" },
+    { "{\"version\":7,\"routes\":[" },
+    { R"({"version":"seven"})" },
+    { R"({"version":7,"routes":[{"name":[],"host":"a"}]})" },
+    { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","timeout_ms":"long"}]})" },
+    { R"({"version":7,"routes":[],"limits":{"max_body_bytes":-1}})" },
+};
+
+std::string mutated(std::string text, std::mt19937& generator)
+{
+    const std::size_t changes = 1 + generator() % 4;
+    for (std::size_t change = 0; change < changes && !text.empty(); ++change) {
+        const std::size_t place = generator() % text.size();
+        switch (generator() % 4) {
+        case 0:
+            text[place] = static_cast<char>(generator() % 256);
+            break;
+        case 1:
+            text.erase(place, 1 + generator() % 8);
+            break;
+        case 2:
+            text.insert(place, text.substr(generator() % text.size(), generator() % 16));
+            break;
+        default:
+            text.resize(place);
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(readsAHeartbeat)
+{
+    const TargetMessage message = decodeTargetMessage(request("heartbeat&of=i-1", kHeartbeat));
+    BOOST_TEST((message.kind == TargetMessage::Kind::Heartbeat));
+    BOOST_TEST(message.service == "s1");
+    BOOST_TEST(message.heartbeat.lifetime.id == "i-1");
+    BOOST_TEST(message.heartbeat.lifetime.startedAt == 1790030755000U);
+    BOOST_TEST(message.heartbeat.sequence == 4U);
+    BOOST_TEST(message.heartbeat.slots == 36);
+    BOOST_TEST((message.heartbeat.coldFor == absl::Milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(readsALeaveWithAndWithoutABody)
+{
+    for (const char* body : { "", R"({"born":5})" }) {
+        const TargetMessage message = decodeTargetMessage(request("leave&of=i-1", body));
+        BOOST_TEST((message.kind == TargetMessage::Kind::Leave));
+        BOOST_TEST(message.heartbeat.lifetime.id == "i-1");
+    }
+}
+
+BOOST_DATA_TEST_CASE(refusesWhatIsNoHeartbeat, boost::unit_test::data::make(kRefused), refused)
+{
+    const TargetMessage message = decodeTargetMessage(request(refused.call, refused.body));
+    BOOST_TEST((message.kind == TargetMessage::Kind::Unreadable));
+}
+
+BOOST_AUTO_TEST_CASE(readsAConfiguration)
+{
+    const auto table = decodeConfiguration(kConfiguration);
+    BOOST_REQUIRE(table.ok());
+    BOOST_TEST(table->version == 7U);
+    const Route* single = matchRoute(*table, "a.example", "/x/1");
+    BOOST_REQUIRE(single != nullptr);
+    BOOST_TEST(!single->isRepeatable);
+    BOOST_TEST(single->attempts == 2);
+    BOOST_TEST((single->priority == Priority::Critical));
+    BOOST_TEST((single->timeout == absl::Milliseconds(1500)));
+    const Route* divided = matchRoute(*table, "b.example", "/y/1");
+    BOOST_REQUIRE(divided != nullptr);
+    BOOST_TEST(divided->isRepeatable);
+    BOOST_TEST(divided->parts.size() == 2U);
+    BOOST_TEST((divided->priority == Priority::Bulk));
+    BOOST_TEST(table->limits.bodyBytes == 1000U);
+}
+
+BOOST_DATA_TEST_CASE(refusesABrokenConfiguration, boost::unit_test::data::make(kBadConfigurations), bad)
+{
+    BOOST_TEST(!decodeConfiguration(bad.text).ok());
+}
+
+BOOST_DATA_TEST_CASE(mutationsNeverEscape, boost::unit_test::data::xrange(8), seed)
+{
+    std::mt19937 generator(static_cast<unsigned>(seed));
+    relay::PeerMessage peer;
+    peer.run = "r";
+    peer.from.peerAddress = "127.0.0.1:1";
+    peer.members = { peer.from };
+    const std::string peerText = relay::encodePeerMessage(peer);
+    BOOST_REQUIRE(relay::decodePeerMessage(peerText).ok());
+    for (int round = 0; round < 2000; ++round) {
+        BOOST_REQUIRE_NO_THROW(
+            decodeTargetMessage(request("heartbeat&of=i", mutated(kHeartbeat, generator))));
+        BOOST_REQUIRE_NO_THROW(
+            static_cast<void>(decodeConfiguration(mutated(kConfiguration, generator)).ok()));
+        BOOST_REQUIRE_NO_THROW(
+            static_cast<void>(relay::decodePeerMessage(mutated(peerText, generator)).ok()));
+    }
+}
