--- a/src/relay/caller-gate.cc
+++ b/src/relay/caller-gate.cc
@@ -48,6 +48,18 @@
         sendNext();
     }
 
+    /// Breaks off what is under way and answers.
+    void onDeadline()
+    {
+        if (isDone_)
+            return;
+        if (isSent_)
+            mayHaveRun_ = true;
+        breakOff();
+        finish(mayHaveRun_ ? "unknown" : "not-run", Reason::Timeout,
+            makeAnswer(http::status::gateway_timeout, "the time limit has passed\n"));
+    }
+
 private:
     GateCall gateCall() const
     {
@@ -193,20 +205,6 @@
         answer(std::move(response));
     }
 
-public:
-    /// Breaks off what is under way and answers.
-    void onDeadline()
-    {
-        if (isDone_)
-            return;
-        if (isSent_)
-            mayHaveRun_ = true;
-        breakOff();
-        finish(mayHaveRun_ ? "unknown" : "not-run", Reason::Timeout,
-            makeAnswer(http::status::gateway_timeout, "the time limit has passed\n"));
-    }
-
-private:
     void abandon()
     {
         if (isDone_)
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -61,7 +61,6 @@
     std::size_t sessionCount() const { return sessions_.size(); }
     /// Requests read and not yet answered.
     std::size_t openRequests() const;
-    unsigned short port() const { return acceptor_.local_endpoint().port(); }
 
 private:
     friend class HttpSession;
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -37,7 +37,6 @@
         RouteVersion version = 0;
         std::uint64_t heardUpTo = 0; ///< Change number of its news that this node took in.
         bool isAsked = false; ///< A message to it is under way.
-        int skipped = 0;
     };
 
     void round();
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -180,7 +180,7 @@
 
 void RelayNode::targetChanged()
 {
-    state_.gate.targetChanged(state_.target, steadyNow());
+    state_.gate.targetChanged(state_.target);
     updateSelf(0);
     link_.announce();
 }
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -17,8 +17,6 @@
 
     /// Begins a planned stop: takes no new callers, ends what is in flight, then ends the loop.
     void stop();
-    const HttpListener& callerPort() const { return callers_; }
-    const HttpListener& peerPort() const { return peers_; }
 
 private:
     void onCallerRequest(const IncomingPtr& incoming);
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -218,7 +218,7 @@
     apply(finishCall(admission_, id, RunEnd::Lost, absl::ZeroDuration(), steadyNow()));
 }
 
-void TargetGate::targetChanged(const TargetState& target, absl::Time now)
+void TargetGate::targetChanged(const TargetState& target)
 {
     const bool wasServing = isServing(target_);
     const bool isNew = target.lifetime != target_.lifetime;
@@ -241,7 +241,6 @@
         static_cast<void>(withdrawCall(admission_, id));
         refuse(id, Reason::Leaving);
     }
-    static_cast<void>(now);
 }
 
 void TargetGate::tick(absl::Time now)
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -70,7 +70,7 @@
     /// The caller left: the call is withdrawn, or its connection to the target closed.
     void cancel(CallId id);
     /// Takes in what the target says of itself. Waiting calls are refused when it leaves.
-    void targetChanged(const TargetState& target, absl::Time now);
+    void targetChanged(const TargetState& target);
     /// Nodes beside targets of the same service, this one included.
     void setTargetCount(std::size_t count) { targetCount_ = count; }
     /// Refuses what waited too long; call it every 10 to 50 ms.
