Relay: the gate's default slots go, nobody read them

Cause: left from the first draft; until a target names its slots the limit's own start value holds. Change: one unused field.

--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -58,7 +58,6 @@
     ArrivalBudgetOptions budget;
     absl::Duration unsafeReuse = absl::Seconds(3); ///< Idle time after which work that runs at most once gets
                                                    ///< a new connection.
-    int defaultSlots = 8; ///< Until the target names its own.
 };
 
 class TargetGate {
