--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	support/lint.sh $(BUILD)
 
 format:
-	git ls-files '*.cc' '*.h' | grep -v '^src/generated/' | xargs clang-format -i
+	git ls-files '*.cc' '*.h' | xargs clang-format -i
 
 fault-run: build
 	support/fault-run.sh $(BUILD)/bin
--- a/bench/cost-main.cc
+++ b/bench/cost-main.cc
@@ -2,7 +2,7 @@
 // 9,000, in memory.
 #include "jackdawwall/call-flow.h"
 #include "main/command-line.h"
-#include "node/gossip.h"
+#include "relay/peer-message.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -42,7 +42,6 @@
     member.incarnation = 1;
     member.service = absl::StrCat("service-", index % 260);
     member.dataCentre = absl::StrCat("centre-", index % 27);
-    member.controlAddress = absl::StrCat(member.peerAddress, "1");
     member.operatorAddress = absl::StrCat(member.peerAddress, "2");
     return member;
 }
@@ -93,6 +92,15 @@
               << " unit=us/call target=5\n";
 }
 
+/// Bytes of one member in a message between nodes.
+std::size_t recordBytes(const Member& member)
+{
+    relay::PeerMessage message;
+    const std::size_t empty = relay::encodePeerMessage(message).size();
+    message.members.push_back(member);
+    return relay::encodePeerMessage(message).size() - empty;
+}
+
 /// One round of heartbeats: prepare a message for each neighbour and take as many.
 void measureFleet(int size)
 {
@@ -118,8 +126,8 @@
     const double seconds = (processorSeconds() - before) / kRounds;
     std::cout << "measure=membership members=" << size << " neighbours=" << neighbours
               << " round-ms=" << seconds * 1e3 << " core-percent=" << 100 * seconds / 0.5
-              << " record-bytes=" << toWire(makeMember(size)).ByteSizeLong()
-              << " resident-mb=" << residentMegabytes() << "\n";
+              << " record-bytes=" << recordBytes(makeMember(size)) << " resident-mb=" << residentMegabytes()
+              << "\n";
 }
 
 } // namespace
--- a/bench/latency-main.cc
+++ b/bench/latency-main.cc
@@ -2,7 +2,7 @@
 // add to real processes.
 #include "adapter/connection-pool.h"
 #include "main/command-line.h"
-#include "node/call-wire.h"
+#include "node/call-headers.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -1,7 +1,8 @@
 /// The way of one call through a node, in both roles, over all the decision states of that node. A driver
 /// (the node's adapters, or a scenario in virtual time) reports what happened and does what is returned.
 ///
-/// Caller's side:  openCall -> refuseEarly -> sendNext -> (hedgeAfter -> sendHedge) -> noteReport
+/// Caller's side:  openCall -> refuseEarly (or openRouted) -> sendNext -> (hedgeAfter -> sendHedge) ->
+/// noteReport
 ///                 -> mayRetry -> sendNext ... -> closeCall
 /// Target's side:  offerCall (admission.h) -> openInbound -> the target runs -> feedbackFor -> closeInbound
 ///                 -> finishCall
@@ -13,6 +14,7 @@
 #include "jackdawwall/membership.h"
 #include "jackdawwall/rate-limit.h"
 #include "jackdawwall/retry-budget.h"
+#include "jackdawwall/route-table.h"
 #include "jackdawwall/routing.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -84,6 +86,9 @@
 /// Forgets what was derived from the membership; call it after every change of it.
 void membersChanged(NodeDecisions& decisions);
 
+/// Members that may get work of a service from this node.
+const std::vector<Candidate>& candidatesFor(NodeDecisions& decisions, const std::string& service);
+
 /// What a caller asks for.
 struct CallAsk {
     std::string service; ///< Empty: the kind's service.
@@ -106,6 +111,22 @@
     PathKey path;
     std::vector<std::string> tried;
     AttemptEnd worst; ///< Strongest doubt of the attempts so far.
+    bool isRouted = false; ///< Resolved by a route: bounded by `attempts` and the budgets of the targets'
+                           ///< nodes in place of an allowance and ranks.
+    int attempts = 1; ///< Routed: targets that the call may reach.
+    int arrivals = 0; ///< Targets that it reached, or may have reached.
+    bool hasLastArrived = false; ///< The last attempt did.
+    int refusals = 0; ///< By nodes, before their targets.
+    absl::Duration goal; ///< Latency objective; 0 when there is none.
+    absl::Time callerDeadline = absl::InfiniteFuture(); ///< Until when the caller waits.
+};
+
+/// A request that a route resolved.
+struct RouteAsk {
+    std::string service; ///< The part of the route that was chosen.
+    std::string caller;
+    std::string requestId;
+    absl::Duration callerTime; ///< That the caller will wait.
 };
 
 /// One copy of a call to one target.
@@ -119,6 +140,7 @@
 struct AttemptReport {
     AttemptEnd end;
     bool isAnswered = false; ///< The target's node answered.
+    bool hasArrived = true; ///< False: its node refused it before the target.
     std::optional<CallFeedback> feedback;
 };
 
@@ -127,6 +149,9 @@
 absl::StatusOr<OutboundCall> openCall(
     NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, absl::Time now);
 
+/// The call for a request that a route resolved. It draws no rank, so nothing is refused for it upstream.
+OutboundCall openRouted(const Route& route, const RouteAsk& ask, absl::Time now);
+
 /// Refusals that need no target: the caller's limit, and ranks that the path does not admit.
 Reason refuseEarly(NodeDecisions& decisions, OutboundCall& call, absl::Time now);
 
--- a/include/jackdawwall/membership.h
+++ b/include/jackdawwall/membership.h
@@ -35,7 +35,6 @@
     MemberStatus status = MemberStatus::Alive;
     std::string service;
     std::string dataCentre;
-    std::string controlAddress;
     std::string operatorAddress;
     bool isServing = true; ///< Its target takes new work.
     std::string leftTarget; ///< Id of the newest lifetime of its target that is known to have left.
--- a/src/adapter/exchange.cc
+++ b/src/adapter/exchange.cc
@@ -49,6 +49,9 @@
 
 absl::StatusOr<std::unique_ptr<Exchange>> Exchange::create()
 {
+    static const CURLcode kReady = curl_global_init(CURL_GLOBAL_DEFAULT);
+    if (kReady != CURLE_OK)
+        return absl::InternalError("libcurl can't be set up");
     CURLM* multi = curl_multi_init();
     CURL* easy = curl_easy_init();
     if (multi == nullptr || easy == nullptr) {
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -65,20 +65,13 @@
     return name.empty() ? kDefaultName : name;
 }
 
-const std::vector<Candidate>& candidatesFor(NodeDecisions& decisions, const std::string& service)
-{
-    const auto found = decisions.subsets.find(service);
-    if (found != decisions.subsets.end())
-        return found->second;
-    std::vector<Candidate> all;
-    for (const Member& member : routableMembers(decisions.membership, service))
-        all.push_back({ member.peerAddress, member.dataCentre == decisions.dataCentre });
-    const std::size_t size = decisions.routing.options.subsetSize;
-    return decisions.subsets[service] = chooseSubset(all, decisions.membership.self, size);
-}
+/// Refusals by nodes that a routed call may collect before its caller is told to come back.
+constexpr int kMostRefusals = 4;
 
-bool isTargetAtFault(const AttemptEnd& end)
+bool isTargetAtFault(const OutboundCall& call, const AttemptEnd& end)
 {
+    if (call.isRouted) // A node that refused is left alone for a while too: others may have room.
+        return end.outcome == Outcome::NotRun || end.outcome == Outcome::Unknown;
     return end.reason == Reason::Unreachable || end.reason == Reason::ConnectionLost
         || end.reason == Reason::Leaving || end.reason == Reason::TargetShed;
 }
@@ -121,6 +114,18 @@
         && call.context.rank < pathLevel(decisions.routing, call.path, now);
 }
 
+/// Routed work: what may have run is repeated only if it may be; refusals go elsewhere.
+bool mayRetryRouted(OutboundCall& call, const AttemptEnd& end)
+{
+    const bool isAnswered = end.outcome == Outcome::Ok || end.outcome == Outcome::Failed;
+    if (isAnswered || (call.worst.outcome == Outcome::Unknown && !call.context.isRepeatable))
+        return false;
+    if (call.hasLastArrived)
+        return call.arrivals < call.attempts;
+    return ++call.refusals < kMostRefusals && end.reason != Reason::RetryLimit
+        && end.reason != Reason::Deadline;
+}
+
 AttemptEnd worseOf(const AttemptEnd& left, const AttemptEnd& right)
 {
     return right.outcome >= left.outcome ? right : left;
@@ -150,6 +155,18 @@
     });
 }
 
+const std::vector<Candidate>& candidatesFor(NodeDecisions& decisions, const std::string& service)
+{
+    const auto found = decisions.subsets.find(service);
+    if (found != decisions.subsets.end())
+        return found->second;
+    std::vector<Candidate> all;
+    for (const Member& member : routableMembers(decisions.membership, service))
+        all.push_back({ member.peerAddress, member.dataCentre == decisions.dataCentre });
+    const std::size_t size = decisions.routing.options.subsetSize;
+    return decisions.subsets[service] = chooseSubset(all, decisions.membership.self, size);
+}
+
 absl::StatusOr<OutboundCall> openCall(
     NodeDecisions& decisions, const Catalogue& catalogue, const CallAsk& ask, absl::Time now)
 {
@@ -170,6 +187,25 @@
     return call;
 }
 
+OutboundCall openRouted(const Route& route, const RouteAsk& ask, absl::Time now)
+{
+    OutboundCall call;
+    call.service = ask.service;
+    call.start = now;
+    call.isRouted = true;
+    call.attempts = route.attempts;
+    call.goal = route.goal;
+    call.callerDeadline = now + ask.callerTime;
+    CallContext& context = call.context;
+    context.caller = ask.caller;
+    context.kind = route.name;
+    context.requestId = ask.requestId;
+    context.priority = route.priority;
+    context.isRepeatable = route.isRepeatable;
+    context.deadline = now + std::min(ask.callerTime, route.timeout);
+    return call;
+}
+
 Reason refuseEarly(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
 {
     if (!takeCall(decisions.callerLimits, call.path.caller, call.callsPerSecond, now))
@@ -213,19 +249,24 @@
 void noteReport(NodeDecisions& decisions, OutboundCall& call, const Sending& sending,
     const AttemptReport& report, absl::Time now)
 {
-    const bool isRun = report.isAnswered && report.end.outcome != Outcome::NotRun;
+    const bool isRun = report.isAnswered && report.end.outcome != Outcome::NotRun
+        && (!call.isRouted || report.end.outcome != Outcome::Unknown);
     const std::uint32_t waiting = report.feedback ? report.feedback->waiting : 0;
-    const AttemptSeen seen { isRun, isTargetAtFault(report.end), now - sending.at, waiting };
+    const AttemptSeen seen { isRun, isTargetAtFault(call, report.end), now - sending.at, waiting };
     noteEnd(decisions.routing, sending.address, seen, now);
-    if (report.feedback)
+    call.arrivals += report.hasArrived ? 1 : 0;
+    call.hasLastArrived = report.hasArrived;
+    if (report.feedback && !call.isRouted)
         learnFeedback(decisions, call, sending, *report.feedback, now);
-    if (report.end.outcome == Outcome::Ok)
+    if (report.end.outcome == Outcome::Ok && !call.isRouted)
         noteAnswer(decisions.hedging, hedgeKey(call), now - sending.at);
     call.worst = worseOf(call.worst, report.end);
 }
 
 bool mayRetry(NodeDecisions& decisions, OutboundCall& call, const AttemptEnd& end, absl::Time now)
 {
+    if (call.isRouted)
+        return now < call.context.deadline && mayRetryRouted(call, end);
     const bool isUseful = isRetryUseful(end, call.context.isRepeatable)
         || isOnlyThisTargetOverloaded(decisions, call, end, now);
     if (!isUseful || now >= call.context.deadline)
--- a/src/main/command-line.cc
+++ b/src/main/command-line.cc
@@ -1,6 +1,5 @@
 #include "main/command-line.h"
 
-#include <curl/curl.h>
 #include <tclap/ArgException.h>
 
 #include <exception>
@@ -27,7 +26,6 @@
 
 int runMain(const std::function<int()>& program)
 {
-    curl_global_init(CURL_GLOBAL_DEFAULT);
     try {
         return program();
     } catch (const TCLAP::ArgException& error) {
--- a/src/main/ctl-catalogue.cc
+++ b/src/main/ctl-catalogue.cc
@@ -39,9 +39,9 @@
     return std::nullopt;
 }
 
-absl::StatusOr<StoredCatalogue> readHead(const Platform& platform)
+absl::StatusOr<StoredCatalogue> readHead(CtlContext& context)
 {
-    const absl::StatusOr<StoredObject> stored = platform.read(kCatalogueKey);
+    const absl::StatusOr<StoredObject> stored = readObject(context, kCatalogueKey);
     if (absl::IsNotFound(stored.status()))
         return StoredCatalogue {};
     if (!stored.ok())
@@ -128,9 +128,9 @@
 }
 
 /// Version under which this apply is stored, if it is, after a write whose answer was lost or refused.
-absl::StatusOr<CatalogueVersion> findOwnWrite(const Platform& platform, const std::string& applyId)
+absl::StatusOr<CatalogueVersion> findOwnWrite(CtlContext& context, const std::string& applyId)
 {
-    const absl::StatusOr<StoredCatalogue> head = readHead(platform);
+    const absl::StatusOr<StoredCatalogue> head = readHead(context);
     if (!head.ok())
         return head.status();
     if (!containsApply(head->document, applyId))
@@ -154,7 +154,7 @@
     const std::optional<CatalogueFile> file = readFileOrReport(context.options.file);
     if (!file)
         return kExitInvalid;
-    const absl::StatusOr<StoredCatalogue> head = readHead(context.platform);
+    const absl::StatusOr<StoredCatalogue> head = readHead(context);
     if (!head.ok())
         return reportStatus(head.status());
     const ApplyPlan plan = planApply(head->document, head->version, file->entries, file->basedOn, "diff");
@@ -169,7 +169,7 @@
         return kExitInvalid;
     const std::string applyId = newApplyId();
     for (int attempt = 0; attempt < kMostWriteAttempts; ++attempt) {
-        const absl::StatusOr<StoredCatalogue> head = readHead(context.platform);
+        const absl::StatusOr<StoredCatalogue> head = readHead(context);
         if (!head.ok())
             return reportStatus(head.status());
         if (containsApply(head->document, applyId)) {
@@ -187,12 +187,12 @@
             return kExitOk;
         }
         const absl::StatusOr<ObjectVersion> written
-            = context.platform.write(kCatalogueKey, writeDocument(plan.result), head->version);
+            = writeObject(context, kCatalogueKey, writeDocument(plan.result), head->version);
         if (written.ok())
             return reportAccepted(context, plan, *written);
         if (absl::IsAborted(written.status()))
             continue;
-        const absl::StatusOr<CatalogueVersion> own = findOwnWrite(context.platform, applyId);
+        const absl::StatusOr<CatalogueVersion> own = findOwnWrite(context, applyId);
         if (own.ok())
             return reportAccepted(context, plan, *own);
         if (!absl::IsNotFound(own.status())) {
@@ -206,7 +206,7 @@
 
 int getCatalogue(CtlContext& context)
 {
-    const absl::StatusOr<StoredCatalogue> head = readHead(context.platform);
+    const absl::StatusOr<StoredCatalogue> head = readHead(context);
     if (!head.ok())
         return reportStatus(head.status());
     std::cout << writeCatalogueFile(head->document, head->version);
--- a/src/main/ctl-fleet.cc
+++ b/src/main/ctl-fleet.cc
@@ -4,7 +4,7 @@
 #include "adapter/json-reader.h"
 #include "main/command-line.h"
 #include "main/timeline.h"
-#include "node/platform-duty.h"
+#include "node/own-platform.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -46,11 +46,11 @@
 std::vector<std::string> seedAddresses(CtlContext& context)
 {
     std::vector<std::string> addresses = context.options.nodeAddresses;
-    const absl::StatusOr<std::vector<StoredObject>> seeds = context.platform.list(kSeedPrefix, "");
+    const absl::StatusOr<std::vector<StoredObject>> seeds = listObjects(context, kSeedPrefix);
     if (!seeds.ok())
         return addresses;
     for (const StoredObject& seed : *seeds) {
-        const std::string address = readSeed(seed.value).operatorAddress;
+        const std::string address = operatorAddressIn(seed.value);
         if (!address.empty())
             addresses.push_back(address);
     }
--- a/src/main/ctl.cc
+++ b/src/main/ctl.cc
@@ -16,6 +16,9 @@
     int (*run)(CtlContext&);
 };
 
+/// An operator waits this long for one answer of the platform.
+constexpr absl::Duration kPlatformTimeout = absl::Seconds(5);
+
 constexpr std::array<Command, 6> kCommands { { { "validate", &validateCatalogue }, { "diff", &diffCatalogue },
     { "apply", &applyCatalogue }, { "get", &getCatalogue }, { "status", &showStatus },
     { "timeline", &showTimeline } } };
@@ -44,8 +47,9 @@
 
 int runCommand(CtlOptions options)
 {
-    CtlContext context { std::move(options), {}, {} };
-    context.platform = connectPlatform({ context.options.platformAddresses, absl::Seconds(5) }, context.pool);
+    CtlContext context;
+    context.options = std::move(options);
+    context.objects = connectObjects(context.loop, { context.options.platformAddresses, kPlatformTimeout });
     for (const Command& command : kCommands) {
         if (context.options.command == command.name)
             return command.run(context);
@@ -55,6 +59,28 @@
 }
 
 } // namespace
+
+absl::StatusOr<StoredObject> readObject(CtlContext& context, const std::string& key)
+{
+    return await<StoredObject>(
+        context.loop, [&](ObjectDone<StoredObject> done) { context.objects.read(key, std::move(done)); });
+}
+
+absl::StatusOr<ObjectVersion> writeObject(
+    CtlContext& context, const std::string& key, const std::string& value, ObjectVersion ifVersion)
+{
+    return await<ObjectVersion>(context.loop, [&](ObjectDone<ObjectVersion> done) {
+        context.objects.write(key, value, ifVersion, std::move(done));
+    });
+}
+
+absl::StatusOr<std::vector<StoredObject>> listObjects(CtlContext& context, const std::string& prefix)
+{
+    return await<std::vector<StoredObject>>(context.loop, [&](ObjectDone<std::vector<StoredObject>> done) {
+        context.objects.list(prefix, "", std::move(done));
+    });
+}
+
 } // namespace jackdawwall
 
 int main(int argc, char** argv)
--- a/src/main/ctl.h
+++ b/src/main/ctl.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "adapter/connection-pool.h"
-#include "adapter/platform-client.h"
+#include "node/object-api.h"
 
 #include <string>
 #include <vector>
@@ -25,10 +25,17 @@
 /// Connections of one run.
 struct CtlContext {
     CtlOptions options;
-    ConnectionPool pool;
-    Platform platform;
+    ConnectionPool pool; ///< To nodes.
+    relay::asio::io_context loop;
+    ObjectApi objects;
 };
 
+/// One call to the platform, awaited; errors as in ObjectApi.
+absl::StatusOr<StoredObject> readObject(CtlContext& context, const std::string& key);
+absl::StatusOr<ObjectVersion> writeObject(
+    CtlContext& context, const std::string& key, const std::string& value, ObjectVersion ifVersion);
+absl::StatusOr<std::vector<StoredObject>> listObjects(CtlContext& context, const std::string& prefix);
+
 int validateCatalogue(CtlContext& context);
 int diffCatalogue(CtlContext& context);
 int applyCatalogue(CtlContext& context);
--- a/src/main/load.cc
+++ b/src/main/load.cc
@@ -4,7 +4,7 @@
 #include "main/command-line.h"
 #include "main/load-report.h"
 #include "main/load-script.h"
-#include "node/call-wire.h"
+#include "node/call-headers.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
--- a/src/node/claim-store.cc
+++ b/src/node/claim-store.cc
@@ -1,12 +1,14 @@
 #include "node/claim-store.h"
 
+#include "adapter/log.h"
 #include "jackdawwall/core.h"
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "absl/strings/string_view.h"
+
+#include <memory>
+#include <random>
 
 namespace jackdawwall {
 namespace {
@@ -30,15 +32,27 @@
         absl::Hex(second, absl::kZeroPad16));
 }
 
+/// A name that no other attempt of any process has.
+std::string newHolder()
+{
+    std::random_device device;
+    std::string holder;
+    for (int part = 0; part < 4; ++part)
+        absl::StrAppend(&holder, absl::Hex(device(), absl::kZeroPad8));
+    return holder;
+}
+
 /// After a write whose fate is open: reads who holds the claim.
-Claim readBack(const Platform& platform, Claim claim, const std::string& holder)
+void readBack(const ObjectApi& objects, Claim claim, const std::string& holder,
+    const std::function<void(const Claim&)>& done)
 {
-    const absl::StatusOr<StoredObject> stored = platform.read(claim.key);
-    if (!stored.ok())
-        return claim;
-    claim.version = stored->version;
-    claim.end = stored->value == holder ? ClaimEnd::Claimed : ClaimEnd::Duplicate;
-    return claim;
+    objects.read(claim.key, [claim, holder, done](const absl::StatusOr<StoredObject>& stored) mutable {
+        if (stored.ok()) {
+            claim.version = stored->version;
+            claim.end = stored->value == holder ? ClaimEnd::Claimed : ClaimEnd::Duplicate;
+        }
+        done(claim);
+    });
 }
 
 bool isBucketExpired(const std::string& key, absl::Time now)
@@ -51,6 +65,21 @@
     return end + kRequestIdValidity + kRemovalDelay < now;
 }
 
+/// Removes claims one after the other, so that the platform's rate is not used up.
+void removeNext(const ObjectApi& objects, const std::shared_ptr<std::vector<StoredObject>>& claims,
+    int removed, const std::function<void(int)>& done)
+{
+    if (claims->empty()) {
+        done(removed);
+        return;
+    }
+    const StoredObject claim = claims->back();
+    claims->pop_back();
+    objects.remove(claim.key, claim.version, [objects, claims, removed, done](const absl::Status& status) {
+        removeNext(objects, claims, removed + (status.ok() ? 1 : 0), done);
+    });
+}
+
 } // namespace
 
 absl::Time requestIdTime(absl::string_view requestId)
@@ -63,45 +92,56 @@
     return absl::FromUnixSeconds(seconds);
 }
 
-Claim claimRequest(
-    const Platform& platform, absl::string_view requestId, const std::string& holder, absl::Time now)
+void claimRequest(const ObjectApi& objects, absl::string_view requestId, absl::Time now,
+    std::function<void(const Claim&)> done)
 {
     Claim claim;
     const absl::Time time = requestIdTime(requestId);
     if (time < now - kRequestIdValidity || time > now + kRequestIdLead) {
         claim.end = ClaimEnd::BadId;
-        return claim;
+        done(claim);
+        return;
     }
     claim.key = claimKey(requestId, time);
-    const absl::StatusOr<ObjectVersion> written = platform.write(claim.key, holder, 0);
-    if (written.ok()) {
-        claim.end = ClaimEnd::Claimed;
-        claim.version = *written;
-        return claim;
-    }
-    if (absl::IsAborted(written.status()) || absl::IsDataLoss(written.status()))
-        return readBack(platform, claim, holder);
-    return claim;
+    const std::string holder = newHolder();
+    objects.write(claim.key, holder, 0,
+        [objects, claim, holder, done = std::move(done)](
+            const absl::StatusOr<ObjectVersion>& written) mutable {
+            if (written.ok()) {
+                claim.end = ClaimEnd::Claimed;
+                claim.version = *written;
+                done(claim);
+            } else if (absl::IsAborted(written.status()) || absl::IsDataLoss(written.status())) {
+                readBack(objects, claim, holder, done);
+            } else {
+                done(claim);
+            }
+        });
 }
 
-void releaseClaim(const Platform& platform, const Claim& claim)
+void releaseClaim(const ObjectApi& objects, const Claim& claim)
 {
-    if (claim.end == ClaimEnd::Claimed)
-        platform.remove(claim.key, claim.version).IgnoreError();
+    if (claim.end != ClaimEnd::Claimed)
+        return;
+    objects.remove(claim.key, claim.version, [key = claim.key](const absl::Status& status) {
+        if (!status.ok())
+            logEvent(LogLevel::Info, "claim-kept", { { "key", key }, { "error", status.ToString() } });
+    });
 }
 
-int removeExpiredClaims(const Platform& platform, absl::Time now)
+void removeExpiredClaims(const ObjectApi& objects, absl::Time now, std::function<void(int)> done)
 {
-    const absl::StatusOr<std::vector<StoredObject>> claims = platform.list(kClaimPrefix, "");
-    if (!claims.ok())
-        return 0;
-    int removed = 0;
-    for (const StoredObject& claim : *claims) {
-        if (!isBucketExpired(claim.key, now))
-            break; // Sorted by bucket.
-        removed += platform.remove(claim.key, claim.version).ok() ? 1 : 0;
-    }
-    return removed;
+    objects.list(kClaimPrefix, "",
+        [objects, now, done = std::move(done)](absl::StatusOr<std::vector<StoredObject>> claims) {
+            if (!claims.ok()) {
+                logEvent(LogLevel::Info, "claims-not-removed", { { "error", claims.status().ToString() } });
+                done(0);
+                return;
+            }
+            std::erase_if(
+                *claims, [&](const StoredObject& claim) { return !isBucketExpired(claim.key, now); });
+            removeNext(objects, std::make_shared<std::vector<StoredObject>>(*std::move(claims)), 0, done);
+        });
 }
 
 } // namespace jackdawwall
--- a/src/node/claim-store.h
+++ b/src/node/claim-store.h
@@ -3,12 +3,13 @@
 /// nor what a paused or restarted node believes.
 #pragma once
 
-#include "adapter/platform-client.h"
+#include "node/object-api.h"
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace jackdawwall {
@@ -34,16 +35,16 @@
 /// Time in a request id of the form "t<unix seconds>-<unique>"; InfinitePast when there is none.
 absl::Time requestIdTime(absl::string_view requestId);
 
-/// Claims a request id; `holder` names this attempt uniquely, to recognise its own write when the answer to
+/// Claims a request id. The claim names this attempt uniquely, to recognise its own write when the answer to
 /// it was lost.
-Claim claimRequest(
-    const Platform& platform, absl::string_view requestId, const std::string& holder, absl::Time now);
+void claimRequest(const ObjectApi& objects, absl::string_view requestId, absl::Time now,
+    std::function<void(const Claim&)> done);
 
 /// Gives a claim back after proof that the work did not run, so that the caller may try again. Best effort:
 /// a claim that stays only turns a later `not-run` into `unknown`.
-void releaseClaim(const Platform& platform, const Claim& claim);
+void releaseClaim(const ObjectApi& objects, const Claim& claim);
 
-/// Removes claims of request ids that are no longer valid; returns how many. Harmless on several nodes.
-int removeExpiredClaims(const Platform& platform, absl::Time now);
+/// Removes claims of request ids that are no longer valid; `done` gets how many. Harmless on several nodes.
+void removeExpiredClaims(const ObjectApi& objects, absl::Time now, std::function<void(int)> done);
 
 } // namespace jackdawwall
--- /dev/null
+++ b/src/node/object-api.cc
@@ -0,0 +1,192 @@
+#include "node/object-api.h"
+
+#include "adapter/json-reader.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/post.hpp>
+
+#include <memory>
+
+namespace jackdawwall {
+namespace {
+
+using relay::http::verb;
+
+constexpr absl::Duration kConnectTime = absl::Milliseconds(500);
+
+absl::Status statusOf(unsigned code)
+{
+    switch (code) {
+    case 404:
+        return absl::NotFoundError("no such object");
+    case 409:
+        return absl::AbortedError("the stored version is another one");
+    case 413:
+        return absl::InvalidArgumentError("the value is too large");
+    case 429:
+        return absl::ResourceExhaustedError("over the platform's call rate");
+    case 503:
+        return absl::UnavailableError("the platform is down");
+    default:
+        return absl::InternalError(absl::StrCat("the platform answered ", code));
+    }
+}
+
+absl::StatusOr<relay::Response> answerOf(relay::ExchangeResult result)
+{
+    if (result.end == relay::ExchangeEnd::NotSent)
+        return absl::UnavailableError("the platform can't be reached");
+    if (result.end != relay::ExchangeEnd::Complete)
+        return absl::DataLossError("the platform's answer was lost");
+    if (relay::http::to_status_class(result.response.result()) != relay::http::status_class::successful)
+        return statusOf(result.response.result_int());
+    return std::move(result.response);
+}
+
+absl::StatusOr<StoredObject> objectOf(const std::string& key, absl::StatusOr<relay::Response> answer)
+{
+    if (!answer.ok())
+        return answer.status();
+    StoredObject object { key, std::move(answer->body()), 0 };
+    if (!absl::SimpleAtoi(relay::headerOf(*answer, "Version"), &object.version))
+        return absl::NotFoundError("no version in the answer");
+    return object;
+}
+
+absl::StatusOr<std::vector<StoredObject>> objectsIn(const std::string& text)
+{
+    std::vector<Finding> findings;
+    // The reader takes objects only.
+    const auto root = parseJson({ "list", absl::StrCat("{\"items\":", text, "}"), &findings });
+    if (!root || !(*root)["items"].isArray())
+        return absl::InternalError("the platform's list can't be read");
+    std::vector<StoredObject> objects;
+    try {
+        for (const Json::Value& item : (*root)["items"])
+            objects.push_back(
+                { item["key"].asString(), item["value"].asString(), item["version"].asUInt64() });
+    } catch (const Json::Exception& error) {
+        return absl::InternalError(error.what());
+    }
+    return objects;
+}
+
+/// Sends calls to the first address that can be reached.
+class HttpObjects : public std::enable_shared_from_this<HttpObjects> {
+public:
+    using Reply = std::function<void(absl::StatusOr<relay::Response>)>;
+
+    HttpObjects(relay::asio::io_context& loop, ObjectApiOptions options)
+        : loop_(loop)
+        , pool_(loop)
+        , options_(std::move(options))
+    {
+    }
+
+    void call(verb method, const std::string& target, const std::string& body, absl::Duration longest,
+        Reply reply, std::size_t attempt = 0)
+    {
+        if (attempt >= options_.addresses.size()) {
+            relay::asio::post(loop_, [reply = std::move(reply)] {
+                reply(absl::UnavailableError("no platform address can be reached"));
+            });
+            return;
+        }
+        relay::Request request { method, target, 11 };
+        request.set(relay::http::field::host, options_.addresses[attempt]);
+        request.body() = body;
+        request.prepare_payload();
+        relay::ExchangePlan plan;
+        plan.bytes = relay::toBytes(request);
+        plan.connectTime = kConnectTime;
+        auto timer = std::make_shared<relay::asio::steady_timer>(loop_, absl::ToChronoMicroseconds(longest));
+        auto pending = std::make_shared<Reply>(std::move(reply));
+        const auto connection = pool_.send(relay::parseEndpoint(options_.addresses[attempt]), std::move(plan),
+            [self = shared_from_this(), method, target, body, longest, timer, pending, attempt](
+                relay::ExchangeResult result) {
+                timer->cancel();
+                if (!*pending)
+                    return;
+                Reply held = std::exchange(*pending, nullptr);
+                absl::StatusOr<relay::Response> answer = answerOf(std::move(result));
+                const bool isNextTried
+                    = absl::IsUnavailable(answer.status()) && attempt + 1 < self->options_.addresses.size();
+                if (isNextTried)
+                    self->call(method, target, body, longest, std::move(held), attempt + 1);
+                else
+                    held(std::move(answer));
+            });
+        timer->async_wait([connection, pending](relay::beast::error_code error) {
+            if (error || !*pending)
+                return;
+            connection->cancel();
+            std::exchange(*pending, nullptr)(absl::DataLossError("the platform did not answer in time"));
+        });
+    }
+
+    absl::Duration timeout() const { return options_.timeout; }
+
+private:
+    relay::asio::io_context& loop_;
+    relay::UpstreamPool pool_;
+    const ObjectApiOptions options_;
+};
+
+std::string objectPath(const std::string& key)
+{
+    return absl::StrCat("/v1/objects/", key);
+}
+
+std::string objectPath(const std::string& key, ObjectVersion ifVersion)
+{
+    return absl::StrCat(objectPath(key), "?if-version=", ifVersion);
+}
+
+} // namespace
+
+ObjectApi connectObjects(relay::asio::io_context& loop, const ObjectApiOptions& options)
+{
+    const auto http = std::make_shared<HttpObjects>(loop, options);
+    ObjectApi api;
+    api.read = [http](const std::string& key, ObjectDone<StoredObject> done) {
+        http->call(verb::get, objectPath(key), "", http->timeout(),
+            [key, done = std::move(done)](
+                absl::StatusOr<relay::Response> answer) { done(objectOf(key, std::move(answer))); });
+    };
+    api.write = [http](const std::string& key, const std::string& value, ObjectVersion ifVersion,
+                    ObjectDone<ObjectVersion> done) {
+        http->call(verb::put, objectPath(key, ifVersion), value, http->timeout(),
+            [key, done = std::move(done)](absl::StatusOr<relay::Response> answer) {
+                const absl::StatusOr<StoredObject> written = objectOf(key, std::move(answer));
+                done(written.ok() ? absl::StatusOr<ObjectVersion>(written->version) : written.status());
+            });
+    };
+    api.remove
+        = [http](const std::string& key, ObjectVersion ifVersion, std::function<void(absl::Status)> done) {
+              http->call(verb::delete_, objectPath(key, ifVersion), "", http->timeout(),
+                  [done = std::move(done)](
+                      const absl::StatusOr<relay::Response>& answer) { done(answer.status()); });
+          };
+    api.list = [http](const std::string& prefix, const std::string& afterKey,
+                   ObjectDone<std::vector<StoredObject>> done) {
+        const std::string target = absl::StrCat("/v1/list?prefix=", prefix, "&after-key=", afterKey);
+        http->call(verb::get, target, "", http->timeout(),
+            [done = std::move(done)](const absl::StatusOr<relay::Response>& answer) {
+                done(answer.ok() ? objectsIn(answer->body())
+                                 : absl::StatusOr<std::vector<StoredObject>>(answer.status()));
+            });
+    };
+    api.watch = [http](const std::string& key, ObjectVersion after, absl::Duration longest,
+                    ObjectDone<StoredObject> done) {
+        const std::string target = absl::StrCat(
+            "/v1/watch/", key, "?after=", after, "&timeout-ms=", absl::ToInt64Milliseconds(longest));
+        http->call(verb::get, target, "", longest + http->timeout(),
+            [key, done = std::move(done)](
+                absl::StatusOr<relay::Response> answer) { done(objectOf(key, std::move(answer))); });
+    };
+    return api;
+}
+
+} // namespace jackdawwall
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -1,6 +1,7 @@
 #include "node/settings.h"
 
 #include "adapter/json-reader.h"
+#include "node/catalogue-interface.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
@@ -37,7 +38,6 @@
 {
     settings.callerAddress = reader.address("callerAddress", settings.callerAddress);
     settings.peerAddress = reader.address("peerAddress", settings.peerAddress);
-    settings.controlAddress = reader.address("controlAddress", settings.controlAddress);
     settings.operatorAddress = reader.address("operatorAddress", settings.operatorAddress);
     settings.targetAddress = reader.address("targetAddress", "");
     settings.platformAddresses = reader.addresses("platformAddresses");
@@ -56,8 +56,35 @@
         = reader.milliseconds("senderTimeoutMs", settings.senderTimeout, absl::Seconds(1), absl::Minutes(5));
 }
 
+/// Nodes that watch the catalogue for all: more than one data centre's loss takes.
+constexpr std::size_t kWatchers = 5;
+/// A fleet's memory budget for a node is 64 MB for control; bodies are held beside it.
+constexpr std::size_t kMemoryBytes = 256U << 20;
+
 } // namespace
 
+relay::RelaySettings relaySettings(const NodeSettings& settings)
+{
+    relay::RelaySettings made;
+    made.process = settings.process;
+    made.service = settings.service;
+    made.dataCentre = settings.dataCentre;
+    made.callerAddress = settings.callerAddress;
+    made.peerAddress = settings.peerAddress;
+    made.operatorAddress = settings.operatorAddress;
+    made.targetAddress = settings.targetAddress;
+    made.seedAddresses = settings.seedAddresses;
+    made.memoryBytes = kMemoryBytes;
+    made.watchers = kWatchers;
+    made.gossipInterval = settings.heartbeatInterval;
+    made.callerDrainTime = settings.leaveDelay;
+    made.peerDrainTime = settings.leaveDelay;
+    made.stopTime = settings.leaveDelay + settings.drainTimeout;
+    made.callerTime = settings.senderTimeout;
+    made.names = catalogueHeaders();
+    return made;
+}
+
 LogLevel readLogLevel(JsonReader& reader)
 {
     const std::string text = reader.text("logLevel", "info");
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -3,6 +3,7 @@
 
 #include "adapter/finding.h"
 #include "adapter/log.h"
+#include "relay/relay-settings.h"
 
 #include "absl/time/time.h"
 
@@ -16,12 +17,11 @@
     std::string service; ///< Of the own target.
     std::string dataCentre;
     std::string callerAddress = "127.0.0.1:0"; ///< For callers and the own target.
-    std::string peerAddress = "127.0.0.1:0"; ///< For calls from other nodes.
-    std::string controlAddress = "127.0.0.1:0"; ///< For control traffic between nodes.
+    std::string peerAddress = "127.0.0.1:0"; ///< For calls and control traffic of other nodes.
     std::string operatorAddress = "127.0.0.1:0"; ///< For operators.
     std::string targetAddress; ///< The own target.
     std::vector<std::string> platformAddresses;
-    std::vector<std::string> seedAddresses; ///< Control addresses used when the platform is down.
+    std::vector<std::string> seedAddresses; ///< Peer addresses used when the platform is down.
     absl::Duration heartbeatInterval = absl::Milliseconds(500);
     absl::Duration leaveDelay = absl::Seconds(3); ///< Between the announcement and the last new work.
     absl::Duration drainTimeout = absl::Seconds(60); ///< For work in flight at a planned stop.
@@ -37,6 +37,9 @@
 NodeSettings readNodeSettings(
     const std::string& file, const SettingOverrides& overrides, std::vector<Finding>& findings);
 
+/// The same for the event loop, with what the product fixes.
+relay::RelaySettings relaySettings(const NodeSettings& settings);
+
 /// Level named "debug", "info", "warning" or "error"; a finding otherwise.
 LogLevel readLogLevel(class JsonReader& reader);
 
--- /dev/null
+++ b/src/relay/byte-budget.h
@@ -0,0 +1,69 @@
+/// Bound on the bytes that a process holds for others at once, with what each holder took.
+#pragma once
+
+#include <cstddef>
+#include <utility>
+
+namespace jackdawwall::relay {
+
+class ByteBudget {
+public:
+    explicit ByteBudget(std::size_t limit)
+        : limit_(limit)
+    {
+    }
+
+    std::size_t held() const { return held_; }
+
+private:
+    friend class HeldBytes;
+
+    std::size_t limit_;
+    std::size_t held_ = 0;
+};
+
+/// Bytes taken from a budget; given back at the end of its life.
+class HeldBytes {
+public:
+    HeldBytes() = default;
+    explicit HeldBytes(ByteBudget& budget)
+        : budget_(&budget)
+    {
+    }
+    HeldBytes(HeldBytes&& other) noexcept
+        : budget_(other.budget_)
+        , bytes_(std::exchange(other.bytes_, 0))
+    {
+    }
+    HeldBytes& operator=(HeldBytes&& other) noexcept
+    {
+        std::swap(budget_, other.budget_);
+        std::swap(bytes_, other.bytes_);
+        return *this;
+    }
+    HeldBytes(const HeldBytes&) = delete;
+    HeldBytes& operator=(const HeldBytes&) = delete;
+    ~HeldBytes()
+    {
+        if (budget_ != nullptr)
+            budget_->held_ -= bytes_;
+    }
+
+    /// Raises what is held to `bytes`; false when the budget does not allow it.
+    [[nodiscard]] bool growTo(std::size_t bytes)
+    {
+        if (budget_ == nullptr || bytes <= bytes_)
+            return true;
+        if (budget_->held_ + (bytes - bytes_) > budget_->limit_)
+            return false;
+        budget_->held_ += bytes - bytes_;
+        bytes_ = bytes;
+        return true;
+    }
+
+private:
+    ByteBudget* budget_ = nullptr;
+    std::size_t bytes_ = 0;
+};
+
+} // namespace jackdawwall::relay
--- a/src/relay/caller-gate.h
+++ b/src/relay/caller-gate.h
@@ -1,8 +1,8 @@
-/// The callers' side of a node: resolves a request against the routes, chooses a node beside a target, tries
-/// another where that can do no harm, and answers.
+/// The callers' side of a node: opens the call that a request asks for, sends it to nodes beside targets,
+/// again where that can do no harm, and answers.
 #pragma once
 
-#include "relay/http-listener.h"
+#include "relay/call-interface.h"
 #include "relay/relay-state.h"
 
 #include <list>
@@ -12,8 +12,9 @@
 
 class CallerGate {
 public:
-    explicit CallerGate(RelayState& state)
+    CallerGate(RelayState& state, CallInterface interface)
         : state_(state)
+        , interface_(std::move(interface))
     {
     }
 
@@ -24,6 +25,7 @@
 
 private:
     RelayState& state_;
+    const CallInterface interface_;
     std::list<std::weak_ptr<class CallerCall>> calls_;
 };
 
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -1,12 +1,42 @@
 #include "relay/hop-wire.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+#include <algorithm>
+#include <vector>
 
 namespace jackdawwall::relay {
 namespace {
 
 constexpr std::int64_t kMostPriority = static_cast<std::int64_t>(kPriorityCount) - 1;
 
+/// Numbers in the chain's and the feedback's header.
+constexpr std::size_t kChainNumbers = 5;
+constexpr std::size_t kFeedbackNumbers = 4;
+
+/// Whole numbers separated by commas; empty for any other text.
+std::vector<std::uint32_t> numbersIn(absl::string_view text)
+{
+    std::vector<std::uint32_t> numbers;
+    for (const absl::string_view part : absl::StrSplit(text, ',')) {
+        std::uint32_t number = 0;
+        if (!absl::SimpleAtoi(part, &number))
+            return {};
+        numbers.push_back(number);
+    }
+    return numbers;
+}
+
+/// True when the call hands more than the defaults down its chain.
+bool hasChain(const CallContext& context)
+{
+    return context.rank != 0 || context.keptFraction != kRankCount || context.weight != 1
+        || context.allowance != 0 || context.depth != 0;
+}
+
 void removeHeaders(http::fields& fields, std::initializer_list<const char*> names)
 {
     for (const char* name : names)
@@ -15,21 +45,26 @@
 
 } // namespace
 
-std::string encodeCall(GateCall call, const std::string& service, absl::Time now)
+std::string encodeCallHead(const GateCall& call, const std::string& service, absl::Time now)
 {
-    Request& request = call.request;
-    removeHopHeaders(request);
-    request.version(11);
-    setHeader(request, kServiceHeader, service);
-    setHeader(request, kRouteHeader, call.route);
-    setHeader(request, kPriorityHeader, absl::StrCat(static_cast<int>(call.priority)));
-    setHeader(request, kRepeatableHeader, call.isRepeatable ? "1" : "0");
-    setHeader(request, kTimeLeftHeader, absl::StrCat(absl::ToInt64Milliseconds(call.deadline - now)));
-    setHeader(request, kGoalHeader, absl::StrCat(absl::ToInt64Milliseconds(call.goal)));
-    setHeader(request, kArrivalsHeader, absl::StrCat(call.arrivals));
-    setHeader(request, kCallerHeader, call.caller);
-    request.prepare_payload();
-    return toBytes(request);
+    const CallContext& context = call.context;
+    Request head = copyHead(*call.request);
+    setHeader(head, kServiceHeader, service);
+    setHeader(head, kRouteHeader, context.kind);
+    setHeader(head, kPriorityHeader, absl::StrCat(static_cast<int>(context.priority)));
+    setHeader(head, kRepeatableHeader, context.isRepeatable ? "1" : "0");
+    const std::int64_t left = absl::ToInt64Milliseconds(context.deadline - now);
+    setHeader(head, kTimeLeftHeader, absl::StrCat(std::max<std::int64_t>(0, left)));
+    if (call.goal > absl::ZeroDuration())
+        setHeader(head, kGoalHeader, absl::StrCat(absl::ToInt64Milliseconds(call.goal)));
+    setHeader(head, kArrivalsHeader, absl::StrCat(call.arrivals));
+    setHeader(head, kCallerHeader, context.caller);
+    if (hasChain(context))
+        setHeader(head, kChainHeader,
+            absl::StrJoin(
+                { context.rank, context.keptFraction, context.weight, context.allowance, context.depth },
+                ","));
+    return headBytes(head);
 }
 
 std::optional<HopCall> decodeCall(Request request, const HeaderNames& names, absl::Time now)
@@ -39,20 +74,28 @@
     const std::int64_t left = numberOf(request, kTimeLeftHeader, -1);
     if (hop.service.empty() || left < 0)
         return std::nullopt;
-    GateCall& call = hop.call;
-    call.requestId = std::string(headerOf(request, names.requestId));
-    call.caller = std::string(headerOf(request, kCallerHeader));
-    call.route = std::string(headerOf(request, kRouteHeader));
-    call.priority = static_cast<Priority>(
+    CallContext& context = hop.call.context;
+    context.requestId = std::string(headerOf(request, names.requestId));
+    context.caller = std::string(headerOf(request, kCallerHeader));
+    context.kind = std::string(headerOf(request, kRouteHeader));
+    context.priority = static_cast<Priority>(
         std::clamp<std::int64_t>(numberOf(request, kPriorityHeader, kMostPriority), 0, kMostPriority));
-    call.isRepeatable = headerOf(request, kRepeatableHeader) == "1";
-    call.arrivals = static_cast<int>(numberOf(request, kArrivalsHeader, 0));
-    call.deadline = now + absl::Milliseconds(left);
-    call.goal = absl::Milliseconds(numberOf(request, kGoalHeader, left));
+    context.isRepeatable = headerOf(request, kRepeatableHeader) == "1";
+    context.deadline = now + absl::Milliseconds(left);
+    const std::vector<std::uint32_t> chain = numbersIn(headerOf(request, kChainHeader));
+    if (chain.size() == kChainNumbers) {
+        context.rank = chain[0];
+        context.keptFraction = chain[1];
+        context.weight = std::max(1U, chain[2]);
+        context.allowance = chain[3];
+        context.depth = chain[4];
+    }
+    hop.call.arrivals = static_cast<int>(numberOf(request, kArrivalsHeader, 0));
+    hop.call.goal = absl::Milliseconds(numberOf(request, kGoalHeader, 0));
     removeHeaders(request,
         { kServiceHeader, kRouteHeader, kPriorityHeader, kRepeatableHeader, kTimeLeftHeader, kGoalHeader,
-            kArrivalsHeader, kCallerHeader });
-    call.request = std::move(request);
+            kArrivalsHeader, kCallerHeader, kChainHeader });
+    hop.call.request = std::make_shared<const Request>(std::move(request));
     return hop;
 }
 
@@ -63,22 +106,45 @@
         response = makeAnswer(http::status::service_unavailable, "");
     setHeader(response, kEndHeader, toText(result.end));
     setHeader(response, kReasonHeader, jackdawwall::toText(result.reason));
-    setHeader(response, kWaitingHeader, absl::StrCat(result.waiting));
+    const CallFeedback& feedback = result.feedback;
+    setHeader(response, kWaitingHeader, absl::StrCat(feedback.waiting));
+    const bool isPlain
+        = feedback.unspent == 0 && feedback.admitFraction == kRankCount && !feedback.hasFailedDeeper;
+    if (!isPlain)
+        setHeader(response, kFeedbackHeader,
+            absl::StrJoin({ feedback.unspent, feedback.admitFraction, feedback.inFlight,
+                              feedback.hasFailedDeeper ? 1U : 0U },
+                ","));
     return response;
 }
 
 GateResult decodeResult(ExchangeResult result)
 {
-    if (result.end == ExchangeEnd::NotSent)
-        return { GateEnd::Refused, Reason::Unreachable, {}, 0 };
-    const absl::string_view end = headerOf(result.response, kEndHeader);
-    if (result.end != ExchangeEnd::Complete || end.empty())
-        return { GateEnd::Unknown, Reason::ConnectionLost, {}, 0 };
     GateResult decoded;
+    decoded.isHeard = false;
+    if (result.end == ExchangeEnd::NotSent) {
+        decoded.end = GateEnd::Refused;
+        decoded.reason = Reason::Unreachable;
+        return decoded;
+    }
+    const absl::string_view end = headerOf(result.response, kEndHeader);
+    if (result.end != ExchangeEnd::Complete || end.empty()) {
+        decoded.reason = Reason::ConnectionLost;
+        return decoded;
+    }
+    decoded.isHeard = true;
     decoded.end = gateEndFromText(end);
     decoded.reason = reasonFromText(headerOf(result.response, kReasonHeader)).value_or(Reason::None);
-    decoded.waiting = static_cast<int>(numberOf(result.response, kWaitingHeader, 0));
-    removeHeaders(result.response, { kEndHeader, kReasonHeader, kWaitingHeader });
+    decoded.feedback.waiting
+        = static_cast<std::uint32_t>(std::max<std::int64_t>(0, numberOf(result.response, kWaitingHeader, 0)));
+    const std::vector<std::uint32_t> numbers = numbersIn(headerOf(result.response, kFeedbackHeader));
+    if (numbers.size() == kFeedbackNumbers) {
+        decoded.feedback.unspent = numbers[0];
+        decoded.feedback.admitFraction = numbers[1];
+        decoded.feedback.inFlight = numbers[2];
+        decoded.feedback.hasFailedDeeper = numbers[3] != 0;
+    }
+    removeHeaders(result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader });
     decoded.response = std::move(result.response);
     return decoded;
 }
--- a/src/relay/hop-wire.h
+++ b/src/relay/hop-wire.h
@@ -13,9 +13,9 @@
     std::string service; ///< That the sender believes to be here.
 };
 
-/// Bytes of the request that offers a call to another node.
-std::string encodeCall(GateCall call, const std::string& service, absl::Time now);
-/// Inverse of encodeCall on the receiving side; empty for anything else.
+/// Head of the request that offers a call to another node; its body follows as it is.
+std::string encodeCallHead(const GateCall& call, const std::string& service, absl::Time now);
+/// Inverse of encodeCallHead on the receiving side; empty for anything else.
 std::optional<HopCall> decodeCall(Request request, const HeaderNames& names, absl::Time now);
 
 /// Answer of the node beside the target.
--- a/src/relay/http-listener.cc
+++ b/src/relay/http-listener.cc
@@ -3,6 +3,8 @@
 #include "adapter/log.h"
 #include "relay/http-session.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace jackdawwall::relay {
 namespace {
 
@@ -13,17 +15,31 @@
 
 } // namespace
 
-HttpListener::HttpListener(asio::io_context& loop, const std::string& address, RequestHandler handler)
+Tcp::acceptor openAcceptor(asio::io_context& loop, const std::string& address)
+{
+    Tcp::acceptor acceptor(loop);
+    const Tcp::endpoint endpoint = parseEndpoint(address);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(kBacklog);
+    return acceptor;
+}
+
+std::string addressOf(const Tcp::acceptor& acceptor)
+{
+    const Tcp::endpoint endpoint = acceptor.local_endpoint();
+    return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+HttpListener::HttpListener(
+    asio::io_context& loop, Tcp::acceptor acceptor, RequestHandler handler, ByteBudget* budget)
     : loop_(loop)
-    , acceptor_(loop)
+    , acceptor_(std::move(acceptor))
     , sweepTimer_(loop)
     , handler_(std::move(handler))
+    , budget_(budget)
 {
-    const Tcp::endpoint endpoint = parseEndpoint(address);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen(kBacklog);
     accept();
     sweep();
 }
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -2,6 +2,7 @@
 /// news of a caller that left while it waits.
 #pragma once
 
+#include "relay/byte-budget.h"
 #include "relay/message.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -30,6 +31,7 @@
 
     std::weak_ptr<HttpSession> session;
     std::optional<Response> response;
+    HeldBytes held; ///< For the request's body.
     bool isDispatched = false;
     bool isDone = false;
 };
@@ -45,10 +47,16 @@
     std::size_t sessions = 4096;
 };
 
+/// Binds an address; throws boost::system::system_error when it can't be bound.
+Tcp::acceptor openAcceptor(asio::io_context& loop, const std::string& address);
+/// "ip:port" of a bound acceptor.
+std::string addressOf(const Tcp::acceptor& acceptor);
+
 class HttpListener {
 public:
-    /// Binds and listens; throws boost::system::system_error when the address can't be bound.
-    HttpListener(asio::io_context& loop, const std::string& address, RequestHandler handler);
+    /// Listens; see openAcceptor. `budget` bounds the bodies that are held; null: no bound.
+    HttpListener(
+        asio::io_context& loop, Tcp::acceptor acceptor, RequestHandler handler, ByteBudget* budget = nullptr);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
@@ -72,6 +80,7 @@
     Tcp::acceptor acceptor_;
     asio::steady_timer sweepTimer_;
     RequestHandler handler_;
+    ByteBudget* budget_;
     ListenerLimits limits_;
     bool isClosing_ = false;
     std::unordered_set<std::shared_ptr<HttpSession>> sessions_;
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace jackdawwall::relay {
 namespace {
 
@@ -14,6 +16,8 @@
 constexpr absl::Duration kLingerTime = absl::Seconds(2);
 /// Time for a caller to take in an answer.
 constexpr absl::Duration kWriteTime = absl::Seconds(20);
+/// For callers whose body found no room.
+constexpr absl::Duration kBusyRetryAfter = absl::Milliseconds(300);
 constexpr unsigned kPayloadTooLarge = 413;
 
 bool mayOverlap(const Incoming& incoming)
@@ -42,8 +46,8 @@
     response = std::move(given);
     if (onSettled)
         std::exchange(onSettled, nullptr)();
-    if (const auto held = session.lock())
-        held->flush();
+    if (const auto open = session.lock())
+        open->flush();
 }
 
 HttpSession::HttpSession(HttpListener& listener, Tcp::socket socket)
@@ -118,6 +122,10 @@
         refuse(statusOf(error), error.message());
         return false;
     }
+    if (parser_->is_header_done() && !holdBody()) {
+        refuse(http::status::service_unavailable, "not run; too much is held for others");
+        return false;
+    }
     if (!hadHead && parser_->is_header_done() && !parser_->is_done())
         sendContinue();
     if (!parser_->is_done())
@@ -126,6 +134,8 @@
     incoming->request = parser_->release();
     incoming->receivedAt = steadyNow();
     incoming->session = weak_from_this();
+    incoming->held = std::exchange(held_, {});
+    isHolding_ = false;
     parser_.reset();
     hasBegun_ = false;
     pending_.push_back(std::move(incoming));
@@ -133,13 +143,26 @@
     return true;
 }
 
+/// Takes what the body will need, or has grown to, from the budget.
+bool HttpSession::holdBody()
+{
+    if (listener_.budget_ == nullptr)
+        return true;
+    if (!isHolding_)
+        held_ = HeldBytes(*listener_.budget_);
+    isHolding_ = true;
+    const std::uint64_t announced = parser_->content_length().value_or(0);
+    return held_.growTo(std::max<std::size_t>(announced, parser_->get().body().size()));
+}
+
 /// Ends a connection whose bytes can't be read any further.
 void HttpSession::refuse(http::status status, absl::string_view text)
 {
     auto incoming = std::make_shared<Incoming>();
     incoming->isDispatched = true;
     incoming->isDone = true;
-    incoming->response = makeAnswer(status, text);
+    incoming->response = makeAnswer(
+        status, text, status == http::status::service_unavailable ? kBusyRetryAfter : absl::ZeroDuration());
     incoming->response->keep_alive(false);
     parser_.reset();
     hasBegun_ = false;
@@ -181,7 +204,10 @@
             || (isFinishing_ && pending_.empty());
         response.version(11);
         response.keep_alive(!isLast);
-        send(toBytes(response, incoming->request.method() == http::verb::head));
+        send(headBytes(response));
+        if (incoming->request.method() != http::verb::head)
+            send(std::move(response.body()));
+        write();
         hasAnswered = true;
         if (isLast) {
             isFinishing_ = true;
@@ -204,10 +230,10 @@
     }
 }
 
-void HttpSession::send(const std::string& bytes)
+void HttpSession::send(std::string bytes)
 {
-    queued_ += bytes;
-    write();
+    if (!bytes.empty())
+        queued_.push_back(std::move(bytes));
 }
 
 void HttpSession::write()
@@ -216,13 +242,17 @@
         return;
     isWriting_ = true;
     writing_ = std::exchange(queued_, {});
-    asio::async_write(socket_, asio::buffer(writing_),
+    std::vector<asio::const_buffer> buffers;
+    for (const std::string& bytes : writing_)
+        buffers.push_back(asio::buffer(bytes));
+    asio::async_write(socket_, buffers,
         [self = shared_from_this()](beast::error_code error, std::size_t) { self->onWritten(error); });
 }
 
 void HttpSession::onWritten(beast::error_code error)
 {
     isWriting_ = false;
+    writing_.clear();
     if (isClosed_)
         return;
     if (error) {
@@ -241,6 +271,7 @@
     if (!beast::iequals(parser_->get()[http::field::expect], "100-continue") || !pending_.empty())
         return;
     send("HTTP/1.1 100 Continue\r\n\r\n");
+    write();
 }
 
 void HttpSession::finish()
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -34,7 +34,8 @@
     void refuse(http::status status, absl::string_view text);
     void dispatch();
     void write();
-    void send(const std::string& bytes);
+    void send(std::string bytes);
+    bool holdBody();
     void onWritten(beast::error_code error);
     void sendContinue();
 
@@ -43,8 +44,10 @@
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::deque<IncomingPtr> pending_;
-    std::string writing_;
-    std::string queued_;
+    std::vector<std::string> writing_;
+    std::vector<std::string> queued_;
+    HeldBytes held_; ///< For the body that is being read.
+    bool isHolding_ = false;
     bool isWriting_ = false;
     bool isReading_ = false;
     bool isFinishing_ = false; ///< No further request is taken.
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -22,11 +22,13 @@
 /// Bytes unacknowledged for so long mean a dead path.
 constexpr int kUnacknowledgedMilliseconds = 2000;
 
-template <bool isRequest> std::string serialise(http::serializer<isRequest, http::string_body>& serializer)
+template <bool isRequest>
+std::string serialiseHead(http::serializer<isRequest, http::string_body>& serializer)
 {
     std::string bytes;
     beast::error_code error;
-    while (!serializer.is_done() && !error) {
+    serializer.split(true);
+    while (!serializer.is_header_done() && !error) {
         serializer.next(error, [&](beast::error_code&, const auto& buffers) {
             for (const auto buffer : beast::buffers_range_ref(buffers))
                 bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
@@ -50,18 +52,36 @@
 }
 
 std::string toBytes(const Request& request)
+{
+    return headBytes(request) + request.body();
+}
+
+std::string headBytes(const Request& request)
 {
     http::request_serializer<http::string_body> serializer { request };
-    return serialise(serializer);
+    return serialiseHead(serializer);
 }
 
-std::string toBytes(const Response& response, bool isHead)
+std::string headBytes(const Response& response)
 {
     http::response_serializer<http::string_body> serializer { response };
-    std::string bytes = serialise(serializer);
-    if (isHead)
-        bytes.resize(bytes.size() - response.body().size());
-    return bytes;
+    return serialiseHead(serializer);
+}
+
+Request copyHead(const Request& request)
+{
+    Request head;
+    head.base() = request.base();
+    removeHopHeaders(head);
+    head.version(11);
+    const http::verb method = head.method();
+    const bool hasLength = !request.body().empty() || method == http::verb::put || method == http::verb::post
+        || method == http::verb::options;
+    if (hasLength)
+        head.set(http::field::content_length, std::to_string(request.body().size()));
+    else
+        head.erase(http::field::content_length);
+    return head;
 }
 
 Response makeAnswer(http::status status, absl::string_view text, absl::Duration retryAfter)
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -24,8 +24,12 @@
 
 /// Bytes of a whole message.
 std::string toBytes(const Request& request);
-/// Bytes of a whole answer; the head only when it answers a HEAD request.
-std::string toBytes(const Response& response, bool isHead);
+/// Bytes of a message up to its body.
+std::string headBytes(const Request& request);
+std::string headBytes(const Response& response);
+
+/// A copy of the head alone, without the headers of one connection, that announces a body of `bodyBytes`.
+Request copyHead(const Request& request);
 
 /// An answer of this node's own. `retryAfter` is left out when it is zero.
 Response makeAnswer(http::status status, absl::string_view text, absl::Duration retryAfter = {});
--- /dev/null
+++ b/src/relay/operator-port.h
@@ -0,0 +1,11 @@
+/// The operators' port of a node: status, members, metrics and recent events.
+#pragma once
+
+#include "relay/relay-state.h"
+
+namespace jackdawwall::relay {
+
+/// Answers GET /status, /members, /metrics and /events.
+Response answerOperator(const RelayState& state, std::size_t callerConnections, const Request& request);
+
+} // namespace jackdawwall::relay
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -21,7 +21,7 @@
     : state_(state)
     , events_(std::move(events))
     , timer_(state.loop)
-    , run_(absl::StrCat(absl::Hex(state.generator())))
+    , run_(absl::StrCat(absl::Hex(state.decisions.generator())))
 {
 }
 
@@ -33,7 +33,7 @@
 void PeerLink::round()
 {
     const absl::Time now = steadyNow();
-    for (const Member& changed : advanceMembership(state_.membership, now)) {
+    for (const Member& changed : advanceMembership(state_.decisions.membership, now)) {
         logEvent(LogLevel::Info, "member-changed",
             { { "member", changed.peerAddress }, { "status", toText(changed.status) },
                 { "incarnation", changed.incarnation } });
@@ -50,9 +50,9 @@
 void PeerLink::announce(std::function<void()> told)
 {
     if (told)
-        waitingForNews_.emplace_back(state_.membership.lastChange, std::move(told));
-    for (const Member& member : chooseNeighbours(state_.membership, kSuccessors)) {
-        if (member.peerAddress != state_.membership.self)
+        waitingForNews_.emplace_back(state_.decisions.membership.lastChange, std::move(told));
+    for (const Member& member : chooseNeighbours(state_.decisions.membership, kSuccessors)) {
+        if (member.peerAddress != state_.decisions.membership.self)
             send(member.peerAddress);
     }
 }
@@ -70,6 +70,7 @@
     request.prepare_payload();
     ExchangePlan plan;
     plan.bytes = toBytes(request);
+    state_.metrics.countControlBytes(plan.bytes.size());
     plan.connectTime = kConnectTime;
     auto timer = std::make_shared<asio::steady_timer>(state_.loop, kReplyTime);
     const auto connection = state_.pool.send(
@@ -90,13 +91,13 @@
     neighbours_[address].isAsked = false;
     std::string from;
     if (result.end != ExchangeEnd::Complete || !takeIn(result.response.body(), from)) {
-        if (noteMissedHeartbeat(state_.membership, address, steadyNow())) {
+        if (noteMissedHeartbeat(state_.decisions.membership, address, steadyNow())) {
             logEvent(LogLevel::Info, "member-changed", { { "member", address }, { "status", "suspect" } });
             membersChanged(state_);
         }
         return;
     }
-    noteHeartbeat(state_.membership, address, upTo, steadyNow());
+    noteHeartbeat(state_.decisions.membership, address, upTo, steadyNow());
     std::vector<std::function<void()>> told;
     std::erase_if(waitingForNews_, [&](const auto& waiting) {
         if (waiting.first > upTo)
@@ -106,7 +107,7 @@
     });
     for (const auto& callback : told)
         callback();
-    if (state_.membership.lastChange > upTo)
+    if (state_.decisions.membership.lastChange > upTo)
         send(address);
 }
 
@@ -115,15 +116,16 @@
     PeerMessage message;
     const Neighbour& neighbour = neighbours_[address];
     message.run = run_;
-    message.from = state_.membership.members.at(state_.membership.self).member;
-    message.members = newsFor(state_.membership, address, kNewsLimit, upTo);
-    const auto held = state_.membership.members.find(address);
-    if (held != state_.membership.members.end())
+    message.from = selfOf(state_);
+    message.members = newsFor(state_.decisions.membership, address, kNewsLimit, upTo);
+    const auto held = state_.decisions.membership.members.find(address);
+    if (held != state_.decisions.membership.members.end())
         message.members.push_back(held->second.member);
     message.upTo = upTo;
     message.heardUpTo = neighbour.heardUpTo;
-    message.version = state_.version();
-    const bool isBehind = neighbour.version < state_.version() && (isReply || neighbour.version > 0);
+    message.version = state_.configuration.version;
+    const bool isBehind
+        = neighbour.version < state_.configuration.version && (isReply || neighbour.version > 0);
     if (isBehind)
         message.configuration = state_.configuration.document;
     return encodePeerMessage(message);
@@ -137,7 +139,7 @@
     neighbour.run = run;
     neighbour.heardUpTo = 0;
     neighbour.version = 0;
-    state_.membership.neighbours[address].acknowledged = 0;
+    state_.decisions.membership.neighbours[address].acknowledged = 0;
 }
 
 bool PeerLink::takeIn(const std::string& body, std::string& from)
@@ -152,13 +154,13 @@
     Neighbour& neighbour = neighbours_[from];
     neighbour.version = message->version;
     neighbour.heardUpTo = message->upTo;
-    NeighbourState& known = state_.membership.neighbours[from];
+    NeighbourState& known = state_.decisions.membership.neighbours[from];
     known.acknowledged = std::max(known.acknowledged, message->heardUpTo);
     std::vector<Member> told = message->members;
     told.push_back(message->from);
     std::optional<Lifetime> left;
     for (const Member& member : told) {
-        if (member.peerAddress == state_.membership.self && !member.leftTarget.empty())
+        if (member.peerAddress == state_.decisions.membership.self && !member.leftTarget.empty())
             left = Lifetime { member.leftTarget, member.leftStartedAt };
     }
     events_.onPast(left);
@@ -170,7 +172,7 @@
 
 void PeerLink::merge(const std::vector<Member>& told)
 {
-    const std::vector<Member> changed = mergeMembers(state_.membership, told, steadyNow());
+    const std::vector<Member> changed = mergeMembers(state_.decisions.membership, told, steadyNow());
     if (changed.empty())
         return;
     for (const Member& member : changed) {
@@ -195,7 +197,9 @@
         return;
     }
     std::uint64_t upTo = 0;
-    incoming->answer(makeJsonAnswer(http::status::ok, message(from, true, upTo)));
+    std::string reply = message(from, true, upTo);
+    state_.metrics.countControlBytes(reply.size());
+    incoming->answer(makeJsonAnswer(http::status::ok, std::move(reply)));
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/peer-message.cc
+++ b/src/relay/peer-message.cc
@@ -17,6 +17,8 @@
     value["service"] = member.service;
     value["dataCentre"] = member.dataCentre;
     value["isServing"] = member.isServing;
+    if (!member.operatorAddress.empty())
+        value["operator"] = member.operatorAddress;
     if (!member.leftTarget.empty()) {
         value["leftTarget"] = member.leftTarget;
         value["leftStartedAt"] = Json::UInt64(member.leftStartedAt);
@@ -38,6 +40,7 @@
     member.service = value["service"].asString();
     member.dataCentre = value["dataCentre"].asString();
     member.isServing = value["isServing"].asBool();
+    member.operatorAddress = value.get("operator", "").asString();
     member.leftTarget = value.get("leftTarget", "").asString();
     member.leftStartedAt = value.get("leftStartedAt", 0).asUInt64();
     if (!isAddress(member.peerAddress))
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -5,6 +5,7 @@
 #include "jackdawwall/route-table.h"
 #include "jackdawwall/target-lifetime.h"
 #include "relay/message.h"
+#include "relay/relay-state.h"
 
 #include "absl/status/statusor.h"
 
@@ -58,10 +59,13 @@
     StoreKind configurationKind; ///< Where the operators keep their configuration,
     std::string configurationName; ///< and under which name.
     StoreKind nodeKind; ///< Where nodes find each other.
-    /// Configuration from its stored text.
-    std::function<absl::StatusOr<RouteTable>(const std::string&)> decodeConfiguration;
-    /// A call on the heartbeat address.
+    /// Configuration from the text that the store or another node gave; `document` and `since` are left open.
+    std::function<absl::StatusOr<Configuration>(const std::string&)> decodeConfiguration;
+    /// A call on the heartbeat address; null when targets send none.
     std::function<TargetMessage(const Request&)> decodeTargetMessage;
+    /// A configuration that an operator hands over on the operators' port, as a document; null: none is
+    /// taken there.
+    std::function<absl::StatusOr<std::string>(const Request&)> decodeHandover;
 };
 
 } // namespace jackdawwall::relay
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -2,15 +2,15 @@
 
 #include "adapter/log.h"
 #include "relay/hop-wire.h"
+#include "relay/operator-port.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 
 namespace jackdawwall::relay {
 namespace {
 
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
-/// From the stop until callers have been sent elsewhere and idle connections are closed.
-constexpr absl::Duration kCallerDrainTime = absl::Milliseconds(2600);
 constexpr absl::Duration kStopRetryAfter = absl::Milliseconds(500);
 /// Time for callers to close their connections once all work is done.
 constexpr absl::Duration kCloseTime = absl::Milliseconds(400);
@@ -19,13 +19,44 @@
 /// Kept of the stop time for the end of the process itself.
 constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
 
+/// Of ports that callers don't use.
+ListenerLimits internalLimits()
+{
+    ListenerLimits limits;
+    limits.headerBytes = 64U << 10;
+    limits.idleTime = absl::Minutes(5);
+    return limits;
+}
+
 } // namespace
 
-RelayNode::RelayNode(asio::io_context& loop, RelaySettings settings, PlatformPort port)
+RelayNode::Ports::Ports(asio::io_context& loop, RelaySettings& settings)
+    : callers(openAcceptor(loop, settings.callerAddress))
+    , peers(openAcceptor(loop, settings.peerAddress))
+{
+    settings.callerAddress = addressOf(callers);
+    settings.peerAddress = addressOf(peers);
+    if (!settings.readyAddress.empty())
+        settings.readyAddress = addressOf(ready.emplace(openAcceptor(loop, settings.readyAddress)));
+    if (!settings.heartbeatAddress.empty())
+        settings.heartbeatAddress
+            = addressOf(heartbeats.emplace(openAcceptor(loop, settings.heartbeatAddress)));
+    if (!settings.operatorAddress.empty())
+        settings.operatorAddress = addressOf(operators.emplace(openAcceptor(loop, settings.operatorAddress)));
+}
+
+RelayNode::RelayNode(
+    asio::io_context& loop, RelaySettings settings, PlatformPort port, CallInterface interface)
+    : RelayNode(loop, settings, Ports(loop, settings), std::move(port), std::move(interface))
+{
+}
+
+RelayNode::RelayNode(
+    asio::io_context& loop, RelaySettings settings, Ports ports, PlatformPort port, CallInterface interface)
     : loop_(loop)
     , state_(loop, std::move(settings))
     , port_(std::move(port))
-    , callerGate_(state_)
+    , callerGate_(state_, std::move(interface))
     , link_(state_,
           { [this](const std::string& document) { onConfiguration(document); },
               [this](const std::optional<Lifetime>& left) { onPast(left); } })
@@ -34,29 +65,66 @@
               [this](const std::vector<Member>& members) { link_.introduce(members); },
               [this](const std::optional<Lifetime>& left) { onPast(left); },
               [this](StoreRevision revision) { onRegistered(revision); } })
-    , callers_(loop, state_.settings.callerAddress,
-          [this](const IncomingPtr& incoming) { onCallerRequest(incoming); })
+    , callers_(
+          loop, std::move(ports.callers), [this](const IncomingPtr& incoming) { onCallerRequest(incoming); },
+          &state_.heldBodies)
     , peers_(
-          loop, state_.settings.peerAddress, [this](const IncomingPtr& incoming) { onPeerRequest(incoming); })
-    , ready_(loop, state_.settings.readyAddress,
-          [this](const IncomingPtr& incoming) { onReadyRequest(incoming); })
-    , heartbeats_(loop, state_.settings.heartbeatAddress,
-          [this](const IncomingPtr& incoming) { onTargetRequest(incoming); })
-    , metrics_(loop, state_.settings.metricsAddress,
-          [this](const IncomingPtr& incoming) { onMetricsRequest(incoming); })
+          loop, std::move(ports.peers), [this](const IncomingPtr& incoming) { onPeerRequest(incoming); },
+          &state_.heldBodies)
     , tickTimer_(loop)
 {
-    ListenerLimits peerLimits;
-    peerLimits.headerBytes = 64U << 10;
-    peerLimits.idleTime = absl::Minutes(5);
-    peers_.setLimits(peerLimits);
-    heartbeats_.setLimits(peerLimits);
-    ready_.setLimits(peerLimits);
+    const auto open = [&](std::optional<HttpListener>& listener, std::optional<Tcp::acceptor>& acceptor,
+                          RequestHandler handler) {
+        if (acceptor)
+            listener.emplace(loop, *std::move(acceptor), std::move(handler)).setLimits(internalLimits());
+    };
+    open(ready_, ports.ready, [this](const IncomingPtr& incoming) { onReadyRequest(incoming); });
+    open(heartbeats_, ports.heartbeats, [this](const IncomingPtr& incoming) { onTargetRequest(incoming); });
+    open(operators_, ports.operators, [this](const IncomingPtr& incoming) { onOperatorRequest(incoming); });
+    ListenerLimits callerLimits;
+    callerLimits.headerTime = state_.settings.callerTime;
+    callerLimits.sessions = callerSessions();
+    callers_.setLimits(callerLimits);
+    peers_.setLimits(internalLimits());
+    if (!heartbeats_)
+        assumeReady();
+    for (const std::string& address : state_.settings.seedAddresses)
+        introduce(address);
     store_.start();
     link_.start();
     tick();
 }
 
+std::size_t RelayNode::callerSessions() const
+{
+    return static_cast<std::size_t>(
+        static_cast<double>(state_.settings.descriptors) * kCallerDescriptorShare);
+}
+
+std::size_t RelayNode::servingMembers() const
+{
+    std::size_t count = 0;
+    for (const auto& [address, record] : state_.decisions.membership.members)
+        count += record.member.isServing && record.member.status == MemberStatus::Alive ? 1 : 0;
+    return count;
+}
+
+void RelayNode::introduce(const std::string& peerAddress)
+{
+    Member member;
+    member.peerAddress = peerAddress;
+    member.isServing = false; // Until it says itself what it is.
+    link_.introduce({ member });
+}
+
+void RelayNode::assumeReady()
+{
+    state_.target.phase = TargetPhase::Ready;
+    state_.target.knowsPast = true;
+    state_.target.readyHeard = kHeartbeatsWithoutPast;
+    targetChanged();
+}
+
 void RelayNode::tick()
 {
     state_.gate.tick(steadyNow());
@@ -72,7 +140,7 @@
 
 void RelayNode::onCallerRequest(const IncomingPtr& incoming)
 {
-    if (state_.isStopping && steadyNow() - stoppingSince_ >= kCallerDrainTime) {
+    if (state_.isStopping && steadyNow() - stoppingSince_ >= state_.settings.callerDrainTime) {
         incoming->answer(
             makeAnswer(http::status::service_unavailable, "not run; stopping\n", kStopRetryAfter));
         return;
@@ -93,11 +161,16 @@
         incoming->answer(makeAnswer(http::status::bad_request, "not a call between nodes\n"));
         return;
     }
-    if (hop->call.request.method() == http::verb::head)
+    if (hop->call.request->method() == http::verb::head)
         incoming->request.method(http::verb::head);
-    if (hop->service != state_.settings.service || state_.isStopping) {
-        const Reason reason = state_.isStopping ? Reason::Leaving : Reason::NoTarget;
-        incoming->answer(encodeResult({ GateEnd::Refused, reason, {}, 0 }));
+    const bool isLeaving = state_.isStopping && steadyNow() - stoppingSince_ >= state_.settings.peerDrainTime;
+    if (hop->service != state_.settings.service || isLeaving) {
+        const Reason reason = isLeaving ? Reason::Leaving : Reason::NoTarget;
+        GateResult refusal;
+        refusal.end = GateEnd::Refused;
+        refusal.reason = reason;
+        refusal.feedback.unspent = hop->call.context.allowance;
+        incoming->answer(encodeResult(std::move(refusal)));
         return;
     }
     auto id = std::make_shared<CallId>(0);
@@ -114,25 +187,28 @@
 
 void RelayNode::onReadyRequest(const IncomingPtr& incoming) const
 {
-    const bool isReady = state_.configuration.table && !state_.isStopping;
+    const bool isReady = state_.configuration.version > 0 && !state_.isStopping;
     incoming->answer(isReady ? makeAnswer(http::status::ok, "ready\n")
                              : makeAnswer(http::status::service_unavailable, "not ready\n"));
 }
 
-void RelayNode::onMetricsRequest(const IncomingPtr& incoming) const
+void RelayNode::onOperatorRequest(const IncomingPtr& incoming)
 {
-    const auto gauge = [](absl::string_view name, auto value) {
-        return absl::StrCat("# TYPE ", name, " gauge\n", name, " ", value, "\n");
-    };
-    const std::string gauges = absl::StrCat(gauge("jackdaw_configuration_version", state_.version()),
-        gauge("jackdaw_target_running", state_.gate.running()),
-        gauge("jackdaw_target_waiting", state_.gate.waiting()),
-        gauge("jackdaw_target_serving", isServing(state_.target) ? 1 : 0),
-        gauge("jackdaw_members", state_.membership.members.size()),
-        gauge("jackdaw_caller_connections", callers_.sessionCount()),
-        gauge("jackdaw_connections_opened", state_.pool.opened()),
-        gauge("jackdaw_log_lines_dropped", droppedLogEvents()));
-    incoming->answer(makeAnswer(http::status::ok, state_.metrics.expose(gauges)));
+    if (incoming->request.method() != http::verb::post) {
+        incoming->answer(answerOperator(state_, callers_.sessionCount(), incoming->request));
+        return;
+    }
+    const absl::StatusOr<std::string> document = port_.decodeHandover
+        ? port_.decodeHandover(incoming->request)
+        : absl::StatusOr<std::string>(absl::NotFoundError("only GET is answered here"));
+    if (!document.ok()) {
+        incoming->answer(
+            makeAnswer(http::status::bad_request, absl::StrCat(document.status().message(), "\n")));
+        return;
+    }
+    const bool isHeld = onConfiguration(*document);
+    incoming->answer(makeAnswer(isHeld ? http::status::ok : http::status::unprocessable_entity,
+        absl::StrCat(state_.configuration.version, "\n")));
 }
 
 void RelayNode::onTargetRequest(const IncomingPtr& incoming)
@@ -150,7 +226,7 @@
         change = noteLeave(state_.target, message.heartbeat.lifetime);
     else
         change = noteHeartbeat(state_.target, message.heartbeat, steadyNow());
-    const bool wasServing = state_.membership.members.at(state_.membership.self).member.isServing;
+    const bool wasServing = selfOf(state_).isServing;
     if (change.hasPhaseChanged || change.isNewLifetime || wasServing != isServing(state_.target)) {
         logEvent(LogLevel::Info, "target-changed",
             { { "target", state_.target.lifetime.id }, { "started_at", state_.target.lifetime.startedAt },
@@ -192,7 +268,7 @@
     record.isServing = isServing(state_.target) && !state_.isStopping;
     record.left = state_.target.lastLeft;
     record.leastIncarnation = leastIncarnation;
-    setOwnRecord(state_.membership, record, steadyNow());
+    setOwnRecord(state_.decisions.membership, record, steadyNow());
     membersChanged(state_);
 }
 
@@ -210,29 +286,36 @@
 void RelayNode::onRegistered(StoreRevision revision)
 {
     logEvent(LogLevel::Info, "registered", { { "revision", revision } });
-    updateSelf(revision);
+    updateSelf(revision + 1); // Above what others read in the record.
     link_.announce();
 }
 
-void RelayNode::onConfiguration(const std::string& document)
+bool RelayNode::onConfiguration(const std::string& document)
 {
-    absl::StatusOr<RouteTable> table = port_.decodeConfiguration(document);
-    if (!table.ok()) {
-        logEvent(LogLevel::Warning, "configuration-refused", { { "error", table.status().message() } });
-        return;
+    absl::StatusOr<Configuration> told = port_.decodeConfiguration(document);
+    if (!told.ok()) {
+        logEvent(LogLevel::Warning, "configuration-refused", { { "error", told.status().message() } });
+        return false;
     }
-    if (table->version <= state_.version())
-        return;
+    if (told->version <= state_.configuration.version)
+        return true;
     logEvent(LogLevel::Info, "configuration-applied",
-        { { "version", table->version }, { "before", state_.version() }, { "hosts", table->byHost.size() } });
-    ListenerLimits limits;
-    limits.headerBytes = table->limits.headerBytes;
-    limits.bodyBytes = table->limits.bodyBytes;
-    limits.headerTime = table->limits.headerTime;
-    limits.idleTime = table->limits.idleTime;
-    callers_.setLimits(limits);
-    state_.configuration = { std::make_shared<const RouteTable>(*std::move(table)), document };
+        { { "version", told->version }, { "before", state_.configuration.version },
+            { "bytes", document.size() } });
+    if (told->limits) {
+        ListenerLimits limits;
+        limits.headerBytes = told->limits->headerBytes;
+        limits.bodyBytes = told->limits->bodyBytes;
+        limits.headerTime = told->limits->headerTime;
+        limits.idleTime = told->limits->idleTime;
+        limits.sessions = callerSessions();
+        callers_.setLimits(limits);
+    }
+    state_.configuration = *std::move(told);
+    state_.configuration.document = document;
+    state_.configuration.since = absl::Now();
     link_.announce();
+    return true;
 }
 
 void RelayNode::stop()
@@ -251,10 +334,11 @@
 {
     const absl::Duration since = steadyNow() - stoppingSince_;
     const std::size_t open = callers_.openRequests() + peers_.openRequests();
-    if (since >= kCallerDrainTime)
+    if (since >= state_.settings.callerDrainTime)
         callers_.closeIdle();
-    const bool isClosed = callers_.sessionCount() == 0 || since >= kCallerDrainTime + kCloseTime;
-    const bool isQuiet = since >= kCallerDrainTime && open == 0 && isClosed;
+    const bool isClosed
+        = callers_.sessionCount() == 0 || since >= state_.settings.callerDrainTime + kCloseTime;
+    const bool isQuiet = since >= state_.settings.callerDrainTime && open == 0 && isClosed;
     const absl::Time now = steadyNow();
     if (now >= state_.stopsAt - kAnswerTime)
         callerGate_.endAll();
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -7,27 +7,57 @@
 #include "relay/store-duty.h"
 
 #include <memory>
+#include <optional>
 
 namespace jackdawwall::relay {
 
 class RelayNode {
 public:
     /// Binds all ports; throws boost::system::system_error when one can't be bound.
-    RelayNode(asio::io_context& loop, RelaySettings settings, PlatformPort port);
+    RelayNode(asio::io_context& loop, RelaySettings settings, PlatformPort port, CallInterface interface);
+
+    /// The settings in force, with the ports in use.
+    const RelaySettings& settings() const { return state_.settings; }
+    RouteVersion configurationVersion() const { return state_.configuration.version; }
+    const Member& self() const { return selfOf(state_); }
+    /// Nodes that are known to take new work, this one included.
+    std::size_t servingMembers() const;
+    /// See rankAmongMembers.
+    std::size_t rank() const { return rankAmongMembers(state_); }
+    /// Makes a peer known before anything is heard of it.
+    void introduce(const std::string& peerAddress);
+    /// Puts a configuration document in force if it is newer and tells other nodes. False when it is invalid.
+    bool onConfiguration(const std::string& document);
 
     /// Begins a planned stop: takes no new callers, ends what is in flight, then ends the loop.
     void stop();
 
 private:
+    /// Acceptors of the ports in use; opened first, as the kernel may choose their ports.
+    struct Ports {
+        Ports(asio::io_context& loop, RelaySettings& settings);
+
+        Tcp::acceptor callers;
+        Tcp::acceptor peers;
+        std::optional<Tcp::acceptor> ready;
+        std::optional<Tcp::acceptor> heartbeats;
+        std::optional<Tcp::acceptor> operators;
+    };
+
+    RelayNode(asio::io_context& loop, RelaySettings settings, Ports ports, PlatformPort port,
+        CallInterface interface);
+
+    std::size_t callerSessions() const;
     void onCallerRequest(const IncomingPtr& incoming);
     void onPeerRequest(const IncomingPtr& incoming);
     void onReadyRequest(const IncomingPtr& incoming) const;
-    void onMetricsRequest(const IncomingPtr& incoming) const;
+    void onOperatorRequest(const IncomingPtr& incoming);
     void onTargetRequest(const IncomingPtr& incoming);
     void onLeave(const TargetChange& change, const IncomingPtr& incoming);
-    void onConfiguration(const std::string& document);
     void onPast(const std::optional<Lifetime>& left);
     void onRegistered(StoreRevision revision);
+    /// Takes the target as ready, where targets send no heartbeats.
+    void assumeReady();
     /// Tells gate and members what is believed of the target now.
     void targetChanged();
     void updateSelf(std::uint64_t leastIncarnation);
@@ -42,9 +72,9 @@
     StoreDuty store_;
     HttpListener callers_;
     HttpListener peers_;
-    HttpListener ready_;
-    HttpListener heartbeats_;
-    HttpListener metrics_;
+    std::optional<HttpListener> ready_;
+    std::optional<HttpListener> heartbeats_;
+    std::optional<HttpListener> operators_;
     asio::steady_timer tickTimer_;
     absl::Time stoppingSince_;
 };
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -2,6 +2,8 @@
 
 #include "adapter/json-reader.h"
 
+#include <algorithm>
+
 namespace jackdawwall::relay {
 namespace {
 
@@ -9,6 +11,10 @@
 constexpr std::int64_t kMostMegabytes = 1 << 20;
 constexpr int kMegabyteBits = 20;
 constexpr double kMostRepeats = 1e6;
+constexpr std::int64_t kMostDescriptors = 1 << 20;
+/// Kept back for files, as the platform does.
+constexpr std::int64_t kFileDescriptors = 200;
+constexpr std::int64_t kLeastDescriptors = 64;
 
 } // namespace
 
@@ -30,18 +36,22 @@
     settings.peerAddress = reader.address("peerAddress", "127.0.0.1:0");
     settings.readyAddress = reader.address("readyAddress", "127.0.0.1:0");
     settings.heartbeatAddress = reader.address("heartbeatAddress", "127.0.0.1:0");
-    settings.metricsAddress = reader.address("metricsAddress", "127.0.0.1:0");
+    settings.operatorAddress = reader.address("operatorAddress", "127.0.0.1:0");
     settings.targetAddress = reader.address("targetAddress", "");
     settings.platformAddress = reader.address("platformAddress", "");
     settings.memoryBytes
         = static_cast<std::size_t>(reader.integer("memoryMegabytes", 256, 16, kMostMegabytes))
         << kMegabyteBits;
+    settings.descriptors = static_cast<std::size_t>(std::max<std::int64_t>(
+        kLeastDescriptors, reader.integer("descriptors", 4296, 1, kMostDescriptors) - kFileDescriptors));
     settings.gossipInterval
         = reader.milliseconds("gossipIntervalMs", settings.gossipInterval, absl::Milliseconds(10), kLongest);
     settings.stopTime = absl::Seconds(reader.number("stopSeconds", 6, 0.1, 3600));
-    settings.repeatRatio = reader.number("repeatRatio", settings.repeatRatio, 0, kMostRepeats);
-    settings.repeatExtra = reader.number("repeatExtra", settings.repeatExtra, 0, kMostRepeats);
-    settings.repeatWindow = absl::Seconds(reader.number("repeatWindowSeconds", 10, 0.1, 3600));
+    ArrivalBudgetOptions repeats;
+    repeats.ratio = reader.number("repeatRatio", repeats.ratio, 0, kMostRepeats);
+    repeats.extra = reader.number("repeatExtra", repeats.extra, 0, kMostRepeats);
+    repeats.window = absl::Seconds(reader.number("repeatWindowSeconds", 10, 0.1, 3600));
+    settings.repeats = repeats;
     reader.finish();
     return settings;
 }
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -1,11 +1,15 @@
-/// Settings of a node on the event loop: a JSON file with comments.
+/// Settings of a node on the event loop.
 #pragma once
 
 #include "adapter/finding.h"
+#include "jackdawwall/admission.h"
+#include "jackdawwall/arrival-budget.h"
+#include "jackdawwall/routing.h"
 #include "relay/names.h"
 
 #include "absl/time/time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,21 +21,34 @@
     std::string dataCentre;
     std::string callerAddress; ///< For callers and the own target.
     std::string peerAddress; ///< For other nodes.
-    std::string readyAddress; ///< Answers whether callers may be sent here.
-    std::string heartbeatAddress; ///< For the own target's heartbeats.
+    std::string readyAddress; ///< Answers whether callers may be sent here; empty: none.
+    std::string heartbeatAddress; ///< For the own target's heartbeats; empty: it is taken as ready.
+    std::string operatorAddress; ///< Status, members, metrics and recent events; empty: none.
     std::string targetAddress; ///< The own target.
-    std::string metricsAddress; ///< For scrapes of the metrics.
     std::string platformAddress;
-    std::size_t memoryBytes = 256U << 20;
+    std::vector<std::string> seedAddresses; ///< Peers known beforehand, for a start without the platform.
+    std::size_t memoryBytes = 256U << 20; ///< That the process may use.
+    std::size_t descriptors = 4096; ///< That connections may use.
+    std::size_t watchers = 0; ///< Nodes that watch the configuration for all; 0: every node does.
     absl::Duration gossipInterval = absl::Milliseconds(500); ///< Between two rounds with the neighbours.
-    absl::Duration stopTime = absl::Seconds(6); ///< From SIGTERM to the forced end.
-    double repeatRatio = 0.1; ///< Repeated arrivals per request of a service, over all nodes.
-    double repeatExtra = 20; ///< Further repeated arrivals per window.
-    absl::Duration repeatWindow = absl::Seconds(10);
+    absl::Duration callerTime
+        = absl::Seconds(3); ///< For the head of a request, until a configuration says otherwise.
+    absl::Duration callerDrainTime
+        = absl::Milliseconds(2600); ///< Callers are served after a stop began, until they went elsewhere.
+    absl::Duration peerDrainTime; ///< The same for calls of other nodes.
+    absl::Duration stopTime = absl::Seconds(6); ///< From a stop to its forced end.
+    std::optional<ArrivalBudgetOptions> repeats; ///< Bound on repeated arrivals at a service, over all nodes.
+    AdmissionOptions admission;
+    RoutingOptions routing;
     HeaderNames names;
 };
 
-/// Reads and checks everything; use the result only when there are no findings.
+/// Share of the memory that bodies of callers and other nodes may take.
+inline constexpr double kHeldBodiesShare = 0.3;
+/// Share of the descriptors for callers' connections; the rest is for other nodes and targets.
+inline constexpr double kCallerDescriptorShare = 0.6;
+
+/// Reads and checks a JSON file with comments; use the result only when there are no findings.
 RelaySettings readRelaySettings(const std::string& file, std::vector<Finding>& findings);
 
 } // namespace jackdawwall::relay
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -3,34 +3,35 @@
 namespace jackdawwall::relay {
 namespace {
 
-/// Cost of an answer from another data centre, as extra latency. Its bytes are priced, so a far target is
-/// used only when the near one is clearly busier.
-constexpr absl::Duration kRemoteCost = absl::Milliseconds(150);
-
-/// Long work keeps a quarter of the slots at least: the queue's order already puts urgent short work first.
-constexpr double kMostReserve = 0.75;
-constexpr double kReserveDeviations = 1;
-
 Member selfMember(const RelaySettings& settings)
 {
     Member self;
     self.peerAddress = settings.peerAddress;
+    self.operatorAddress = settings.operatorAddress;
     self.isServing = false; // Until the target says that it is ready.
     self.service = settings.service;
     self.dataCentre = settings.dataCentre;
     return self;
 }
 
+NodeDecisions decisionsFor(const RelaySettings& settings)
+{
+    const absl::Time now = steadyNow();
+    const std::uint64_t seed
+        = stableHash(settings.process) ^ static_cast<std::uint64_t>(absl::ToUnixNanos(now));
+    NodeDecisions decisions = makeNodeDecisions(selfMember(settings), seed, now);
+    decisions.admission = makeAdmissionState(settings.admission);
+    decisions.routing.options = settings.routing;
+    return decisions;
+}
+
 GateOptions gateOptions(const RelaySettings& settings)
 {
     GateOptions options;
     options.targetAddress = settings.targetAddress;
+    options.nodeAddress = settings.callerAddress;
     options.names = settings.names;
-    options.admission.mostReserve = kMostReserve;
-    options.admission.reserveDeviations = kReserveDeviations;
-    options.budget.ratio = settings.repeatRatio;
-    options.budget.extra = settings.repeatExtra;
-    options.budget.window = settings.repeatWindow;
+    options.budget = settings.repeats;
     return options;
 }
 
@@ -39,30 +40,34 @@
 RelayState::RelayState(asio::io_context& ioLoop, RelaySettings given)
     : loop(ioLoop)
     , settings(std::move(given))
+    , heldBodies(static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * kHeldBodiesShare))
     , pool(ioLoop)
-    , gate(pool, requestLog, gateOptions(settings))
-    , membership(makeMembership(selfMember(settings), {}, steadyNow()))
-    , generator(stableHash(settings.process) ^ static_cast<std::uint64_t>(absl::ToUnixNanos(steadyNow())))
+    , decisions(decisionsFor(settings))
+    , gate(decisions, pool, requestLog, gateOptions(settings))
 {
-    routing.options.remoteCost = kRemoteCost;
 }
 
 void membersChanged(RelayState& state)
 {
-    state.candidates.clear();
-    state.gate.setTargetCount(routableMembers(state.membership, state.settings.service).size());
+    membersChanged(state.decisions);
+    state.gate.setTargetCount(routableMembers(state.decisions.membership, state.settings.service).size());
+}
+
+std::size_t rankAmongMembers(const RelayState& state)
+{
+    const MembershipState& membership = state.decisions.membership;
+    const std::uint64_t own = mixBits(stableHash(membership.self));
+    std::size_t rank = 0;
+    for (const auto& [address, record] : membership.members) {
+        if (record.member.status == MemberStatus::Alive && mixBits(stableHash(address)) < own)
+            ++rank;
+    }
+    return rank;
 }
 
-const std::vector<Candidate>& candidatesFor(RelayState& state, const std::string& service)
+const Member& selfOf(const RelayState& state)
 {
-    const auto [found, isNew] = state.candidates.try_emplace(service);
-    if (!isNew)
-        return found->second;
-    std::vector<Candidate> members;
-    for (const Member& member : routableMembers(state.membership, service))
-        members.push_back({ member.peerAddress, member.dataCentre == state.settings.dataCentre });
-    found->second = chooseSubset(members, state.membership.self, state.routing.options.subsetSize);
-    return found->second;
+    return state.decisions.membership.members.at(state.decisions.membership.self).member;
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -2,24 +2,29 @@
 #pragma once
 
 #include "adapter/metrics.h"
-#include "jackdawwall/membership.h"
+#include "jackdawwall/call-flow.h"
+#include "jackdawwall/catalogue.h"
 #include "jackdawwall/route-table.h"
-#include "jackdawwall/routing.h"
-#include "relay/names.h"
+#include "relay/byte-budget.h"
 #include "relay/relay-settings.h"
 #include "relay/request-log.h"
 #include "relay/target-gate.h"
 #include "relay/upstream.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace jackdawwall::relay {
 
-/// A configuration in force, with the text that other nodes are told.
+/// A configuration in force, with the text that other nodes are told. An interface uses one of its parts.
 struct Configuration {
-    std::shared_ptr<const RouteTable> table;
+    RouteVersion version = 0; ///< 0 before the first.
     std::string document;
+    std::shared_ptr<const RouteTable> table;
+    std::shared_ptr<const Catalogue> catalogue;
+    std::optional<CallerLimits> limits; ///< For callers; empty: those of the settings.
+    absl::Time since = absl::InfinitePast(); ///< Time of day at which it took hold here.
 };
 
 struct RelayState {
@@ -27,27 +32,27 @@
 
     asio::io_context& loop;
     RelaySettings settings;
+    ByteBudget heldBodies;
     UpstreamPool pool;
     Metrics metrics;
     RequestLog requestLog;
+    NodeDecisions decisions;
     TargetGate gate;
-    MembershipState membership;
-    RoutingState routing;
     SplitState split;
-    Generator generator;
     Configuration configuration;
     TargetState target;
     bool isStopping = false;
     absl::Time stopsAt = absl::InfiniteFuture(); ///< When the process has to be gone.
-    absl::flat_hash_map<std::string, std::vector<Candidate>> candidates; ///< By service; see membersChanged.
-
-    RouteVersion version() const { return configuration.table ? configuration.table->version : 0; }
 };
 
 /// Forgets what was derived from the membership.
 void membersChanged(RelayState& state);
 
-/// Members that may get work of a service.
-const std::vector<Candidate>& candidatesFor(RelayState& state, const std::string& service);
+/// Live members before this one in the order of their hashes, the same at all nodes; for duties that a few
+/// nodes have for all.
+std::size_t rankAmongMembers(const RelayState& state);
+
+/// What this node says of itself now.
+const Member& selfOf(const RelayState& state);
 
 } // namespace jackdawwall::relay
--- a/src/relay/store-duty.cc
+++ b/src/relay/store-duty.cc
@@ -12,6 +12,8 @@
 
 /// Longest wait of one watch: a path that died without notice is found out after it.
 constexpr absl::Duration kWatchTime = absl::Seconds(10);
+/// Until a node that does not watch looks whether it has become one of the watchers.
+constexpr absl::Duration kLookAgain = absl::Seconds(1);
 constexpr absl::Duration kFirstPause = absl::Milliseconds(200);
 constexpr absl::Duration kLongestPause = absl::Seconds(1);
 constexpr int kMostDoublings = 6;
@@ -35,6 +37,7 @@
         member.peerAddress = value->get("address", "").asString();
         member.service = value->get("service", "").asString();
         member.dataCentre = value->get("dataCentre", "").asString();
+        member.operatorAddress = value->get("operator", "").asString();
         member.incarnation = item.revision;
         member.isServing = false; // Until it says itself that its target is ready.
         if (const auto left = leftFrom(*value)) {
@@ -56,7 +59,7 @@
     : state_(state)
     , port_(port)
     , events_(std::move(events))
-    , run_(absl::StrCat(absl::Hex(state.generator())))
+    , run_(absl::StrCat(absl::Hex(state.decisions.generator())))
 {
 }
 
@@ -82,12 +85,14 @@
 
 std::string StoreDuty::nodeContent() const
 {
-    const Member& self = state_.membership.members.at(state_.membership.self).member;
+    const Member& self = selfOf(state_);
     Json::Value value;
     value["address"] = self.peerAddress;
     value["service"] = self.service;
     value["dataCentre"] = self.dataCentre;
     value["run"] = run_;
+    if (!self.operatorAddress.empty())
+        value["operator"] = self.operatorAddress;
     if (!self.leftTarget.empty()) {
         value["leftTarget"] = self.leftTarget;
         value["leftStartedAt"] = Json::UInt64(self.leftStartedAt);
@@ -112,6 +117,10 @@
         const auto before = parseJson({ stored->name, stored->content, &findings });
         events_.onPast(before && before->isObject() ? leftFrom(*before) : std::nullopt);
         events_.onRegistered(stored->revision);
+        // Where records are shared, the one that was replaced names another node.
+        if (const auto replaced = memberFrom({ stored->name, 0, stored->content, false });
+            replaced && replaced->peerAddress != state_.decisions.membership.self)
+            events_.onMembers({ *replaced });
         listNodes();
     });
 }
@@ -127,7 +136,7 @@
         std::vector<Member> members;
         for (const StoredItem& item : listing->items) {
             const auto member = memberFrom(item);
-            if (member && member->peerAddress != state_.membership.self)
+            if (member && member->peerAddress != state_.decisions.membership.self)
                 members.push_back(*member);
         }
         events_.onMembers(members);
@@ -152,7 +161,25 @@
             return;
         }
         onListing(listing);
-        watchConfiguration(listing->revision);
+        followConfiguration(listing->revision);
+    });
+}
+
+bool StoreDuty::isWatcher() const
+{
+    return state_.settings.watchers == 0 || rankAmongMembers(state_) < state_.settings.watchers;
+}
+
+void StoreDuty::followConfiguration(StoreRevision after)
+{
+    if (isWatcher()) {
+        watchConfiguration(after);
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(kLookAgain));
+    timer->async_wait([this, timer, after](beast::error_code error) {
+        if (!error)
+            followConfiguration(after);
     });
 }
 
@@ -162,7 +189,7 @@
         [this, after](const absl::StatusOr<StoreListing>& listing) {
             if (listing.ok()) {
                 onListing(listing);
-                watchConfiguration(std::max(after, listing->revision));
+                followConfiguration(std::max(after, listing->revision));
                 return;
             }
             if (absl::IsOutOfRange(listing.status()))
--- a/src/relay/store-duty.h
+++ b/src/relay/store-duty.h
@@ -30,12 +30,15 @@
     void registerNode();
     void listNodes();
     void listConfiguration();
+    /// Watches if this node is one of the watchers, else looks again later.
+    void followConfiguration(StoreRevision after);
     void watchConfiguration(StoreRevision after);
     void onListing(const absl::StatusOr<StoreListing>& listing);
     void put(std::function<void(absl::StatusOr<StoredItem>)> done);
     /// Runs `step` after a pause that grows with each failure in a row.
     void retryLater(int& failures, const absl::Status& status, std::function<void()> step);
     std::string nodeContent() const;
+    bool isWatcher() const;
 
     RelayState& state_;
     const PlatformPort& port_;
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <array>
 
 namespace jackdawwall::relay {
@@ -12,6 +13,8 @@
 constexpr absl::Duration kLeastTime = absl::Milliseconds(5);
 /// Wait that every call may have at the gate.
 constexpr absl::Duration kLeastPatience = absl::Milliseconds(20);
+/// Part of the slots that a target declares which the limit never goes below.
+constexpr double kLeastLimitShare = 0.7;
 constexpr absl::Duration kConnectTime = absl::Milliseconds(500);
 constexpr absl::Duration kReuse = absl::Seconds(30);
 
@@ -46,12 +49,12 @@
     return GateEnd::Unknown;
 }
 
-TargetGate::TargetGate(UpstreamPool& pool, RequestLog& log, GateOptions options)
-    : pool_(pool)
+TargetGate::TargetGate(NodeDecisions& decisions, UpstreamPool& pool, RequestLog& log, GateOptions options)
+    : decisions_(decisions)
+    , pool_(pool)
     , log_(log)
     , options_(std::move(options))
     , endpoint_(parseEndpoint(options_.targetAddress))
-    , admission_(makeAdmissionState(options_.admission))
 {
 }
 
@@ -68,17 +71,12 @@
         refuse(id, target_.phase == TargetPhase::Leaving ? Reason::Leaving : Reason::NoTarget);
         return id;
     }
-    OfferedCall offered;
-    offered.id = id;
-    offered.priority = held->call.priority;
-    offered.caller = stableHash(held->call.caller);
-    // Only the queue refuses: a refusal by rank would waste what nodes and targets upstream have done.
-    offered.rank = 0;
-    offered.cost = costKey(held->call.route, held->call.request.body().size());
-    offered.deadline = held->call.deadline;
-    offered.patience = std::max(
-        kLeastPatience, held->call.goal - expectedTime(admission_.limit, offered.cost, absl::ZeroDuration()));
-    const Decision decision = offerCall(admission_, offered, now);
+    AdmissionState& admission = decisions_.admission;
+    OfferedCall offered = toOffer(held->call.context, id, held->call.request->body().size());
+    if (held->call.goal > absl::ZeroDuration())
+        offered.patience = std::max(kLeastPatience,
+            held->call.goal - expectedTime(admission.limit, offered.cost, absl::ZeroDuration()));
+    const Decision decision = offerCall(admission, offered, now);
     if (decision.verdict == Verdict::Start)
         run(id);
     else if (decision.verdict == Verdict::Refuse)
@@ -90,61 +88,94 @@
 {
     const absl::Time now = steadyNow();
     const std::shared_ptr<Held> held = calls_.at(id);
-    if (now + kLeastTime > held->call.deadline) {
-        finish(id, { GateEnd::Refused, Reason::Deadline, {}, 0 }, RunEnd::Lost);
+    const CallContext& context = held->call.context;
+    if (now + kLeastTime > context.deadline) {
+        finish(id, { GateEnd::Refused, Reason::Deadline, {}, {} }, RunEnd::Lost);
         return;
     }
-    if (held->call.arrivals > 0 && !takeRepeat(budget_, options_.budget, targetCount_, now)) {
-        finish(id, { GateEnd::Refused, Reason::RetryLimit, {}, 0 }, RunEnd::Lost);
+    if (options_.budget && held->call.arrivals > 0
+        && !takeRepeat(budget_, *options_.budget, targetCount_, now)) {
+        finish(id, { GateEnd::Refused, Reason::RetryLimit, {}, {} }, RunEnd::Lost);
         return;
     }
-    if (held->call.arrivals == 0)
-        noteFirstArrival(budget_, options_.budget, now);
+    if (options_.budget && held->call.arrivals == 0)
+        noteFirstArrival(budget_, *options_.budget, now);
+    if (!options_.names.parent.empty())
+        held->token = openInbound(decisions_, context);
     ExchangePlan plan;
-    plan.bytes = requestBytes(held->call, now);
-    plan.isHead = held->call.request.method() == http::verb::head;
+    plan.bytes = requestHead(*held, now);
+    plan.body = { held->call.request, &held->call.request->body() };
+    plan.isHead = held->call.request->method() == http::verb::head;
     plan.idHeader = options_.names.requestId;
-    plan.id = held->call.requestId;
+    plan.id = context.requestId;
     plan.connectTime = kConnectTime;
-    plan.freshFor = held->call.isRepeatable ? kReuse : options_.unsafeReuse;
+    plan.freshFor = context.isRepeatable ? kReuse : options_.unsafeReuse;
+    plan.takesUnframed = !options_.names.seal.empty();
     held->connection = pool_.send(
         endpoint_, std::move(plan), [this, id](ExchangeResult result) { onAnswer(id, std::move(result)); });
 }
 
-std::string TargetGate::requestBytes(const GateCall& call, absl::Time now) const
+std::string TargetGate::requestHead(const Held& held, absl::Time now) const
 {
-    Request request = call.request;
-    removeHopHeaders(request);
-    request.version(11);
-    setHeader(request, options_.names.timeLeft, absl::StrCat(absl::ToInt64Milliseconds(call.deadline - now)));
-    setHeader(request, options_.names.expectTarget, target_.lifetime.id);
-    setHeader(request, options_.names.caller, call.caller);
-    request.prepare_payload();
-    return toBytes(request);
+    const CallContext& context = held.call.context;
+    const HeaderNames& names = options_.names;
+    Request head = copyHead(*held.call.request);
+    const auto set = [&](const std::string& name, absl::string_view value) {
+        if (!name.empty())
+            setHeader(head, name, value);
+    };
+    const std::int64_t left = absl::ToInt64Milliseconds(context.deadline - now);
+    set(names.timeLeft, absl::StrCat(std::max<std::int64_t>(1, left)));
+    set(names.expectTarget, target_.lifetime.id);
+    set(names.caller, context.caller);
+    set(names.kind, context.kind);
+    set(names.parent, absl::StrCat(absl::Hex(held.token, absl::kZeroPad16)));
+    set(names.node, options_.nodeAddress);
+    return headBytes(head);
+}
+
+/// What the answer hands back up the chain.
+CallFeedback TargetGate::feedback(const Held& held)
+{
+    if (options_.names.parent.empty()) {
+        CallFeedback seen;
+        seen.waiting = static_cast<std::uint32_t>(waiting());
+        return seen;
+    }
+    return feedbackFor(decisions_, held.call.context, held.token);
+}
+
+/// Time that the target spent waiting for calls of its own.
+absl::Duration TargetGate::endInbound(const Held& held)
+{
+    return held.token == 0 ? absl::ZeroDuration() : closeInbound(decisions_, held.token, steadyNow());
 }
 
 GateResult TargetGate::judge(const Held& held, ExchangeResult& result) const
 {
     if (result.end == ExchangeEnd::NotSent)
-        return { GateEnd::Refused, Reason::Unreachable, {}, 0 };
+        return { GateEnd::Refused, Reason::Unreachable, {}, {} };
     if (result.end != ExchangeEnd::Complete) {
         const Reason reason = result.end == ExchangeEnd::Lost ? Reason::ConnectionLost : Reason::Truncated;
-        return { GateEnd::Unknown, reason, {}, 0 };
+        return { GateEnd::Unknown, reason, {}, {} };
     }
+    const HeaderNames& names = options_.names;
     const Response& response = result.response;
-    const bool isNotRun = !headerOf(response, options_.names.notRun).empty()
-        || response.result() == http::status::misdirected_request;
+    const absl::string_view notRun = headerOf(response, names.notRun);
+    const bool isNotRun = (!notRun.empty() && (names.notRunText.empty() || notRun == names.notRunText))
+        || (!names.expectTarget.empty() && response.result() == http::status::misdirected_request);
     if (isNotRun)
-        return { GateEnd::Rejected, Reason::TargetShed, {}, 0 };
-    const absl::string_view id = headerOf(response, options_.names.requestId);
-    const bool isForeign = !id.empty() && id != held.call.requestId;
-    const bool isEncoded = response.count(http::field::content_encoding) != 0;
-    const bool isUnsealed = headerOf(response, options_.names.seal).empty();
-    if (isForeign || isEncoded || isUnsealed)
-        return { GateEnd::Unknown, Reason::TargetFailed, {}, 0 };
-    frame(result.response, held.call.request.method() == http::verb::head);
+        return { GateEnd::Rejected, Reason::TargetShed, {}, {} };
+    const absl::string_view id = headerOf(response, names.requestId);
+    const bool isForeign = !id.empty() && id != held.call.context.requestId;
+    // A seal covers the body as the target made it, which is never encoded.
+    const bool isSpoilt = !names.seal.empty()
+        && (headerOf(response, names.seal).empty() || response.count(http::field::content_encoding) != 0);
+    if (isForeign || isSpoilt)
+        return { GateEnd::Unknown, Reason::TargetFailed, {}, {} };
+    frame(result.response, held.call.request->method() == http::verb::head);
     return { GateEnd::Answered, isSuccess(response) ? Reason::None : Reason::TargetFailed,
-        std::move(result.response), 0 };
+        std::move(result.response), {} };
 }
 
 void TargetGate::onAnswer(CallId id, ExchangeResult result)
@@ -160,8 +191,8 @@
         end = RunEnd::Completed;
     if (judged.end == GateEnd::Rejected)
         end = RunEnd::RefusedByTarget;
-    log_.note("target-call", held->call.requestId, judged.end == GateEnd::Answered,
-        { { "request", held->call.requestId }, { "route", held->call.route },
+    log_.note("target-call", held->call.context.requestId, judged.end == GateEnd::Answered,
+        { { "request", held->call.context.requestId }, { "route", held->call.context.kind },
             { "target", target_.lifetime.id }, { "end", toText(judged.end) },
             { "reason", jackdawwall::toText(judged.reason) }, { "status", status },
             { "arrivals_before", held->call.arrivals }, { "running", running() }, { "waiting", waiting() },
@@ -173,8 +204,9 @@
 {
     const std::shared_ptr<Held> held = calls_.at(id);
     calls_.erase(id);
-    const Release release = finishCall(admission_, id, end, absl::ZeroDuration(), steadyNow());
-    result.waiting = waiting();
+    result.feedback = feedback(*held);
+    const Release release = finishCall(decisions_.admission, id, end, endInbound(*held), steadyNow());
+    result.feedback.waiting = static_cast<std::uint32_t>(waiting());
     held->done(std::move(result));
     apply(release);
 }
@@ -186,12 +218,12 @@
         return;
     const std::shared_ptr<Held> held = found->second;
     calls_.erase(found);
-    log_.note("target-refused", held->call.requestId, reason == Reason::Leaving,
-        { { "request", held->call.requestId }, { "route", held->call.route },
+    log_.note("target-refused", held->call.context.requestId, reason == Reason::Leaving,
+        { { "request", held->call.context.requestId }, { "route", held->call.context.kind },
             { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
             { "running", running() }, { "waiting", waiting() },
-            { "left_ms", absl::ToInt64Milliseconds(held->call.deadline - steadyNow()) } });
-    held->done({ GateEnd::Refused, reason, {}, waiting() });
+            { "left_ms", absl::ToInt64Milliseconds(held->call.context.deadline - steadyNow()) } });
+    held->done({ GateEnd::Refused, reason, {}, feedback(*held) });
 }
 
 void TargetGate::apply(const Release& release)
@@ -211,11 +243,11 @@
         return;
     const std::shared_ptr<Held> held = found->second;
     calls_.erase(found);
-    if (withdrawCall(admission_, id))
+    if (withdrawCall(decisions_.admission, id))
         return;
     if (held->connection)
         held->connection->cancel();
-    apply(finishCall(admission_, id, RunEnd::Lost, absl::ZeroDuration(), steadyNow()));
+    apply(finishCall(decisions_.admission, id, RunEnd::Lost, endInbound(*held), steadyNow()));
 }
 
 void TargetGate::targetChanged(const TargetState& target)
@@ -223,29 +255,29 @@
     const bool wasServing = isServing(target_);
     const bool isNew = target.lifetime != target_.lifetime;
     target_ = target;
+    AdmissionState& admission = decisions_.admission;
     if (isNew && target.slots > 0) {
-        AdmissionOptions options = options_.admission;
-        options.limit.initial = target.slots;
-        options.limit.maximum = target.slots;
-        options.limit.minimum = std::max(2.0, target.slots * 0.7);
-        admission_.options = options;
-        admission_.limit = makeLimitState(options.limit);
+        LimitOptions& limit = admission.options.limit;
+        limit.initial = target.slots;
+        limit.maximum = target.slots;
+        limit.minimum = std::max(2.0, target.slots * kLeastLimitShare);
+        admission.limit = makeLimitState(limit);
         pool_.forget(endpoint_);
     }
     if (!wasServing || isServing(target_))
         return;
     std::vector<CallId> waitingIds;
-    for (const auto& [id, waitingCall] : admission_.waiting)
+    for (const auto& [id, waitingCall] : admission.waiting)
         waitingIds.push_back(id);
     for (const CallId id : waitingIds) {
-        static_cast<void>(withdrawCall(admission_, id));
+        static_cast<void>(withdrawCall(admission, id));
         refuse(id, Reason::Leaving);
     }
 }
 
 void TargetGate::tick(absl::Time now)
 {
-    apply(advanceTime(admission_, now));
+    apply(advanceTime(decisions_.admission, now));
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -2,8 +2,8 @@
 /// What is refused here has not run.
 #pragma once
 
-#include "jackdawwall/admission.h"
 #include "jackdawwall/arrival-budget.h"
+#include "jackdawwall/call-flow.h"
 #include "jackdawwall/target-lifetime.h"
 #include "relay/names.h"
 #include "relay/request-log.h"
@@ -13,21 +13,18 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace jackdawwall::relay {
 
 /// A call offered to the target beside this node.
 struct GateCall {
-    Request request; ///< As the target gets it, but for the headers that the gate sets.
-    std::string requestId;
-    std::string caller;
-    std::string route;
-    Priority priority = Priority::Browse;
-    bool isRepeatable = false;
+    std::shared_ptr<const Request>
+        request; ///< As the target gets it, but for the headers that the gate sets.
+    CallContext context;
     int arrivals = 0; ///< Targets that the request reached, or may have reached, before.
-    absl::Time deadline;
-    absl::Duration goal; ///< What is left of the latency objective.
+    absl::Duration goal; ///< What is left of the latency objective; 0 when there is none.
 };
 
 enum class GateEnd : std::uint8_t {
@@ -46,23 +43,25 @@
     GateEnd end = GateEnd::Unknown;
     Reason reason = Reason::None;
     Response response; ///< For Answered.
-    int waiting = 0; ///< Calls that wait at the gate.
+    CallFeedback feedback;
+    bool isHeard = true; ///< False: the node beside the target did not answer.
 };
 
 using GateDone = std::function<void(GateResult)>;
 
 struct GateOptions {
     std::string targetAddress;
+    std::string nodeAddress; ///< Told to the target for calls of its own.
     HeaderNames names;
-    AdmissionOptions admission;
-    ArrivalBudgetOptions budget;
+    std::optional<ArrivalBudgetOptions> budget; ///< Bound on repeats over all nodes of the service.
     absl::Duration unsafeReuse = absl::Seconds(3); ///< Idle time after which work that runs at most once gets
                                                    ///< a new connection.
 };
 
 class TargetGate {
 public:
-    TargetGate(UpstreamPool& pool, RequestLog& log, GateOptions options);
+    /// Admission and inbound calls are parts of `decisions`.
+    TargetGate(NodeDecisions& decisions, UpstreamPool& pool, RequestLog& log, GateOptions options);
 
     /// `done` may be called before this returns. The id cancels the call.
     CallId offer(GateCall call, GateDone done);
@@ -74,14 +73,15 @@
     void setTargetCount(std::size_t count) { targetCount_ = count; }
     /// Refuses what waited too long; call it every 10 to 50 ms.
     void tick(absl::Time now);
-    int waiting() const { return static_cast<int>(admission_.waiting.size()); }
-    int running() const { return inFlight(admission_); }
+    int waiting() const { return static_cast<int>(decisions_.admission.waiting.size()); }
+    int running() const { return inFlight(decisions_.admission); }
 
 private:
     struct Held {
         GateCall call;
         GateDone done;
         std::shared_ptr<Upstream> connection;
+        CallToken token = 0; ///< While it runs in a target that may call on.
         absl::Time since;
     };
 
@@ -91,14 +91,16 @@
     void finish(CallId id, GateResult result, RunEnd end);
     void refuse(CallId id, Reason reason);
     void apply(const Release& release);
-    std::string requestBytes(const GateCall& call, absl::Time now) const;
+    std::string requestHead(const Held& held, absl::Time now) const;
+    CallFeedback feedback(const Held& held);
+    absl::Duration endInbound(const Held& held);
 
+    NodeDecisions& decisions_;
     UpstreamPool& pool_;
     RequestLog& log_;
     GateOptions options_;
     Tcp::endpoint endpoint_;
     TargetState target_;
-    AdmissionState admission_;
     ArrivalBudget budget_;
     std::size_t targetCount_ = 1;
     CallId lastId_ = 0;
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace jackdawwall::relay {
 namespace {
@@ -77,13 +78,14 @@
 {
     beginParser();
     isWriting_ = true;
-    asio::async_write(socket_, asio::buffer(plan_.bytes),
-        [self = shared_from_this()](beast::error_code error, std::size_t) {
-            self->isWriting_ = false;
-            // The other side may have answered before it closed; the read tells.
-            if (error)
-                self->isReusable_ = false;
-        });
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(plan_.bytes),
+        plan_.body ? asio::buffer(*plan_.body) : asio::const_buffer() };
+    asio::async_write(socket_, buffers, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        self->isWriting_ = false;
+        // The other side may have answered before it closed; the read tells.
+        if (error)
+            self->isReusable_ = false;
+    });
 }
 
 void Upstream::beginParser()
@@ -125,7 +127,7 @@
 void Upstream::onEndOfStream(beast::error_code error)
 {
     isReusable_ = false;
-    if (error == asio::error::eof && parser_ && parser_->is_header_done()) {
+    if (error == asio::error::eof && parser_ && parser_->is_header_done() && plan_.takesUnframed) {
         beast::error_code ignored;
         parser_->put_eof(ignored);
         if (!ignored && parser_->is_done() && takeAnswer())
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -29,13 +29,15 @@
 };
 
 struct ExchangePlan {
-    std::string bytes; ///< The whole request.
+    std::string bytes; ///< The whole request, or its head.
+    std::shared_ptr<const std::string> body; ///< What follows `bytes`; may be null.
     bool isHead = false;
     /// Header by which an answer names its request, and the name; an answer with another one is dropped.
     std::string idHeader;
     std::string id;
     absl::Duration connectTime = absl::Milliseconds(500);
     absl::Duration freshFor = absl::Seconds(30); ///< Longest idle time of a connection that is reused.
+    bool takesUnframed = true; ///< An answer may end with its connection.
     std::uint64_t answerBytes = 32ULL << 20; ///< Largest answer.
 };
 
--- a/standin/target-main.cc
+++ b/standin/target-main.cc
@@ -3,7 +3,7 @@
 #include "adapter/connection-pool.h"
 #include "adapter/http-server.h"
 #include "main/command-line.h"
-#include "node/call-wire.h"
+#include "node/call-headers.h"
 #include "standin/slots.h"
 
 #include "absl/container/btree_map.h"
--- a/support/fault-run.sh
+++ b/support/fault-run.sh
@@ -65,7 +65,7 @@
   at_least "$(share "$RUN/outage.txt" ramp-history)" 1
 check "bookings are refused, not run" [ "$(grep -c 'outcome-unknown' "$RUN/outage.txt")" -eq 0 ]
 start_target h5 hist-desk -l 20 -t 5 || exit 1
-start_node h5 hist-desk centre --set "seedAddresses=[\"$(value_of "$RUN/node-h1.out" control)\"]" || exit 1
+start_node h5 hist-desk centre --set "seedAddresses=[\"$(value_of "$RUN/node-h1.out" peer)\"]" || exit 1
 sleep 3
 check "a node that starts now has the catalogue from its peers in 3 s" [ "$(version_at h5)" = "$(version_at h1)" ]
 stop node-h2
--- a/support/install-packages.sh
+++ b/support/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs what the build, the tests and the linters need; does nothing when it is all there.
 set -eu
 packages=(g++ cmake ninja-build pkg-config curl clang-format clang-tidy
-  libabsl-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
+  libabsl-dev
   libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev libspdlog-dev libtclap-dev
   libboost-dev libboost-test-dev)
 missing=()
--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -1,16 +1,18 @@
-/// Nodes inside the test's own process: real ports and decisions, a fake platform, and a target that the test
-/// scripts.
+/// Nodes of the product's own interface on one event loop, beside targets that the test scripts, and the
+/// platform's objects in memory.
 #pragma once
 
-#include "adapter/http-server.h"
-#include "node/call-wire.h"
-#include "node/caller-side.h"
-#include "node/node-state.h"
-#include "node/target-side.h"
+#include "node/call-headers.h"
+#include "node/catalogue-interface.h"
+#include "node/own-platform.h"
+#include "node/settings.h"
+#include "relay-fixture.h"
 #include "standin/object-store.h"
 
 #include "absl/time/clock.h"
 
+#include <boost/asio/post.hpp>
+
 #include <memory>
 #include <string>
 #include <utility>
@@ -18,126 +20,163 @@
 
 namespace jackdawwall::test {
 
-/// The platform port on a store in memory, with its faults.
-struct FakePlatform {
-    standin::ObjectStore store;
-    bool isDown = false;
-    bool losesAnswers = false; ///< Writes take effect, their answers are lost.
+using relay::test::runUntil;
+using relay::test::ScriptedTarget;
+using relay::test::TargetReply;
+
+/// The platform's objects in memory, with faults.
+struct FakeObjects {
+    explicit FakeObjects(relay::asio::io_context& ioLoop)
+        : loop(ioLoop)
+    {
+    }
 
-    Platform port()
+    ObjectApi port()
     {
-        Platform platform;
-        platform.read = [this](const std::string& key) -> absl::StatusOr<StoredObject> {
-            if (isDown)
-                return absl::UnavailableError("down");
-            const absl::StatusOr<standin::Object> object = store.read(key);
-            if (!object.ok())
-                return object.status();
-            return StoredObject { key, object->value, object->version };
+        ObjectApi api;
+        api.read = [this](const std::string& key, const ObjectDone<StoredObject>& done) {
+            later([this, key, done] { done(isDown ? absl::StatusOr<StoredObject>(down()) : read(key)); });
         };
-        platform.write = [this](const std::string& key, const std::string& value,
-                             ObjectVersion ifVersion) -> absl::StatusOr<ObjectVersion> {
-            if (isDown)
-                return absl::UnavailableError("down");
-            absl::StatusOr<std::uint64_t> written = store.write(key, value, ifVersion);
-            if (losesAnswers)
-                return absl::DataLossError("lost");
-            return written;
+        api.write = [this](const std::string& key, const std::string& value, ObjectVersion ifVersion,
+                        const ObjectDone<ObjectVersion>& done) {
+            later([this, key, value, ifVersion, done] {
+                if (isDown) {
+                    done(down());
+                    return;
+                }
+                const absl::StatusOr<std::uint64_t> written = store.write(key, value, ifVersion);
+                done(losesAnswers ? absl::StatusOr<ObjectVersion>(absl::DataLossError("lost")) : written);
+            });
         };
-        platform.remove = [this](const std::string& key, ObjectVersion ifVersion) -> absl::Status {
-            return isDown ? absl::UnavailableError("down") : store.remove(key, ifVersion);
+        api.remove = [this](const std::string& key, ObjectVersion ifVersion,
+                         const std::function<void(absl::Status)>& done) {
+            later([this, key, ifVersion, done] { done(isDown ? down() : store.remove(key, ifVersion)); });
         };
-        platform.list = [this](const std::string& prefix,
-                            const std::string& afterKey) -> absl::StatusOr<std::vector<StoredObject>> {
-            if (isDown)
-                return absl::UnavailableError("down");
-            std::vector<StoredObject> objects;
-            for (const standin::Object& object : store.list(prefix, afterKey, 1000))
-                objects.push_back({ object.key, object.value, object.version });
-            return objects;
+        api.list = [this](const std::string& prefix, const std::string& afterKey,
+                       const ObjectDone<std::vector<StoredObject>>& done) {
+            later([this, prefix, afterKey, done] {
+                if (isDown) {
+                    done(down());
+                    return;
+                }
+                std::vector<StoredObject> objects;
+                for (const standin::Object& object : store.list(prefix, afterKey, 1000))
+                    objects.push_back({ object.key, object.value, object.version });
+                done(std::move(objects));
+            });
         };
-        return platform;
+        // No change comes before the end of the test.
+        api.watch = [](const std::string&, ObjectVersion, absl::Duration, const ObjectDone<StoredObject>&) {};
+        return api;
     }
-};
 
-/// One node with the ports that calls use.
-struct TestNode {
-    TestNode(const std::string& service, const std::string& targetAddress, FakePlatform& platform)
-        : state(settingsOf(service, targetAddress))
-    {
-        state.platform = platform.port();
-        HttpServerOptions options;
-        options.address = "127.0.0.1:0";
-        callerPort = *HttpServer::start(options, callerSide(state));
-        peerPort = *HttpServer::start(options, targetSide(state));
-        state.callerAddress = callerPort->address();
-        state.peerAddress = peerPort->address();
-        const absl::MutexLock lock(&state.mutex);
-        state.decisions = makeNodeDecisions(self(), 1, absl::Now());
-    }
+    relay::asio::io_context& loop;
+    standin::ObjectStore store;
+    bool isDown = false;
+    bool losesAnswers = false; ///< Writes take effect, their answers are lost.
 
-    ~TestNode()
+private:
+    static absl::Status down() { return absl::UnavailableError("down"); }
+
+    void later(std::function<void()> step) { relay::asio::post(loop, std::move(step)); }
+
+    absl::StatusOr<StoredObject> read(const std::string& key)
     {
-        callerPort->stop();
-        peerPort->stop();
+        const absl::StatusOr<standin::Object> object = store.read(key);
+        if (!object.ok())
+            return object.status();
+        return StoredObject { key, object->value, object->version };
     }
+};
 
-    Member self() const
+/// One node with the ports that calls use.
+struct TestNode {
+    TestNode(FakeObjects& objects, const std::string& service, const std::string& targetAddress,
+        absl::Duration leaveDelay = absl::Seconds(3))
+        : node(objects.loop, settingsOf(service, targetAddress, leaveDelay),
+            ownPlatform(objects.port(), "sukhbaatar"), catalogueInterface(objects.port()))
+        , address(node.settings().callerAddress)
     {
-        Member member;
-        member.peerAddress = state.peerAddress;
-        member.incarnation = 1;
-        member.service = state.settings.service;
-        member.dataCentre = state.settings.dataCentre;
-        return member;
     }
 
-    static NodeSettings settingsOf(const std::string& service, const std::string& targetAddress)
+    static relay::RelaySettings settingsOf(
+        const std::string& service, const std::string& targetAddress, absl::Duration leaveDelay)
     {
         NodeSettings settings;
+        settings.process = "node before " + targetAddress;
         settings.service = service;
         settings.dataCentre = "sukhbaatar";
         settings.targetAddress = targetAddress;
-        return settings;
+        settings.heartbeatInterval = absl::Milliseconds(50);
+        settings.leaveDelay = leaveDelay;
+        return relaySettings(settings);
     }
 
-    NodeState state;
-    std::unique_ptr<HttpServer> callerPort;
-    std::unique_ptr<HttpServer> peerPort;
+    /// Puts a catalogue of these entries in force: pairs of name and JSON. False when it is invalid.
+    bool apply(const std::vector<std::pair<std::string, std::string>>& entries, CatalogueVersion version)
+    {
+        std::string text;
+        for (const auto& [name, value] : entries)
+            text += (text.empty() ? "\"" : ",\"") + name + "\":{\"value\":" + value + "}";
+        return offer("{\"entries\":{" + text + "}}", version);
+    }
+    bool offer(const std::string& text, CatalogueVersion version)
+    {
+        return node.onConfiguration(packCatalogue({ "catalogue", text, version }));
+    }
+
+    relay::RelayNode node;
+    std::string address; ///< Of the callers' port.
 };
 
 /// Makes all nodes know each other.
-inline void introduce(const std::vector<TestNode*>& nodes)
+inline void introduce(relay::asio::io_context& loop, const std::vector<TestNode*>& nodes)
 {
     for (TestNode* node : nodes) {
-        const absl::MutexLock lock(&node->state.mutex);
         for (const TestNode* other : nodes)
-            mergeMembers(node->state.decisions.membership, { other->self() }, absl::Now());
-        membersChanged(node->state.decisions);
+            node->node.introduce(other->node.settings().peerAddress);
     }
+    for (const TestNode* node : nodes)
+        runUntil(loop, [&] { return node->node.servingMembers() == nodes.size(); });
 }
 
-/// Puts a catalogue of these entries in force: pairs of name and JSON.
-inline void apply(
-    TestNode& node, const std::vector<std::pair<std::string, std::string>>& entries, CatalogueVersion version)
-{
-    std::string text;
-    for (const auto& [name, value] : entries)
-        text += (text.empty() ? "\"" : ",\"") + name + "\":{\"value\":" + value + "}";
-    node.state.offerCatalogue({ "catalogue", "{\"entries\":{" + text + "}}", version });
-}
+/// Headers of a call, by name.
+using CallHeaders = std::vector<std::pair<std::string, std::string>>;
 
-/// A call to a node's callers' port.
-inline absl::StatusOr<HttpAnswer> call(TestNode& node, ConnectionPool& pool, std::vector<HttpHeader> headers,
-    absl::string_view body = "", const std::string& target = "/")
-{
-    ExchangeRequest request;
-    request.method = "POST";
-    request.url = "http://" + node.callerPort->address() + target;
-    request.headers = std::move(headers);
-    request.body = body;
-    request.deadline = absl::Now() + absl::Seconds(20);
-    return fetch(pool, node.callerPort->address(), request, 64U << 20);
-}
+/// A caller on the loop.
+class Caller {
+public:
+    explicit Caller(relay::asio::io_context& loop)
+        : loop_(loop)
+        , pool_(loop)
+    {
+    }
+
+    relay::ExchangeResult call(
+        const std::string& address, const CallHeaders& headers, const std::string& body = "")
+    {
+        std::optional<relay::ExchangeResult> result;
+        send(address, headers, body, [&](relay::ExchangeResult given) { result = std::move(given); });
+        runUntil(loop_, [&] { return result.has_value(); });
+        return *std::move(result);
+    }
+
+    void send(const std::string& address, const CallHeaders& headers, const std::string& body,
+        relay::ExchangeDone done)
+    {
+        relay::Request request { relay::http::verb::post, "/", 11 };
+        for (const auto& [name, value] : headers)
+            request.set(name, value);
+        request.body() = body;
+        request.prepare_payload();
+        relay::ExchangePlan plan;
+        plan.bytes = relay::toBytes(request);
+        pool_.send(relay::parseEndpoint(address), std::move(plan), std::move(done));
+    }
+
+private:
+    relay::asio::io_context& loop_;
+    relay::UpstreamPool pool_;
+};
 
 } // namespace jackdawwall::test
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -4,6 +4,7 @@
 
 #include "adapter/json-reader.h"
 #include "relay/relay-node.h"
+#include "relay/routed-interface.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -43,13 +44,34 @@
 class ScriptedTarget {
 public:
     using Script = std::function<std::optional<TargetReply>(const Request&)>; ///< Empty: stays silent.
+    /// Answers when it calls back.
+    using LateScript = std::function<void(const Request&, std::function<void(TargetReply)>)>;
 
-    ScriptedTarget(asio::io_context& loop, Script script)
+    ScriptedTarget(asio::io_context& loop, LateScript script)
         : script_(std::move(script))
         , acceptor_(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     {
         accept();
     }
+    ScriptedTarget(asio::io_context& loop, const Script& script)
+        : ScriptedTarget(
+            loop, LateScript([script](const Request& request, const std::function<void(TargetReply)>& done) {
+                if (auto reply = script(request))
+                    done(*std::move(reply));
+            }))
+    {
+    }
+
+    /// Takes no further connection and ends those that are open.
+    void stop()
+    {
+        beast::error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto& held : connections_) {
+            if (const auto connection = held.lock())
+                connection->socket.close(ignored);
+        }
+    }
 
     std::string address() const { return absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port()); }
 
@@ -76,25 +98,27 @@
         void onRead(beast::error_code error)
         {
             if (error) {
-                ++owner.closedByPeer;
+                owner.closedByPeer += error == asio::error::operation_aborted ? 0 : 1;
                 return;
             }
             owner.requests.push_back(parser->release());
-            const auto reply = owner.script_(owner.requests.back());
-            if (!reply) {
-                read();
-                return;
-            }
-            writing = reply->bytes;
+            const Request request = owner.requests.back();
+            read(); // A caller that leaves is seen while the answer is still open.
+            owner.script_(
+                request, [self = shared_from_this()](TargetReply reply) { self->write(std::move(reply)); });
+        }
+
+        void write(TargetReply reply)
+        {
+            writing = std::move(reply.bytes);
             asio::async_write(socket, asio::buffer(writing),
-                [self = shared_from_this(), reply](beast::error_code, std::size_t) {
-                    if (reply->isReset)
+                [self = shared_from_this(), closes = reply.closes, isReset = reply.isReset](
+                    beast::error_code, std::size_t) {
+                    if (isReset)
                         self->socket.set_option(asio::socket_base::linger(true, 0));
                     beast::error_code ignored;
-                    if (reply->closes || reply->isReset)
+                    if (closes || isReset)
                         self->socket.close(ignored);
-                    else
-                        self->read();
                 });
         }
 
@@ -111,13 +135,16 @@
             if (error)
                 return;
             ++opened;
-            std::make_shared<Connection>(*this, std::move(socket))->read();
+            const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            connections_.push_back(connection);
+            connection->read();
             accept();
         });
     }
 
-    Script script_;
+    LateScript script_;
     Tcp::acceptor acceptor_;
+    std::vector<std::weak_ptr<Connection>> connections_;
 };
 
 /// Whole answer of a target, with the seal and the echoed id.
@@ -139,6 +166,8 @@
     bool isAway = false;
     int puts = 0;
 
+    StoreRevision revision() const { return revision_; }
+
     ObjectStorePort port()
     {
         ObjectStorePort made;
@@ -272,19 +301,27 @@
         settings.peerAddress = freeAddress(loop);
         settings.readyAddress = freeAddress(loop);
         settings.heartbeatAddress = freeAddress(loop);
-        settings.metricsAddress = freeAddress(loop);
+        settings.operatorAddress = freeAddress(loop);
         settings.targetAddress = targetAddress;
         settings.gossipInterval = absl::Milliseconds(50);
         settings.stopTime = absl::Seconds(6);
+        settings.repeats = ArrivalBudgetOptions {};
+        settings.admission = routedAdmission();
+        settings.routing = routedRouting();
         port.store = store.port();
         port.configurationKind = "configuration";
         port.configurationName = "main";
         port.nodeKind = "nodes";
-        port.decodeConfiguration = tableFromText;
+        port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
+            absl::StatusOr<RouteTable> table = tableFromText(text);
+            if (!table.ok())
+                return table.status();
+            return routedConfiguration(*std::move(table));
+        };
         port.decodeTargetMessage = targetMessageFromPath;
     }
 
-    void start() { node = std::make_unique<RelayNode>(loop_, settings, port); }
+    void start() { node = std::make_unique<RelayNode>(loop_, settings, port, routedInterface()); }
 
     /// Sends a request and gives what came; empty `result` until then.
     std::shared_ptr<std::optional<ExchangeResult>> ask(const std::string& address, Request request)
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -153,7 +153,7 @@
     one.node.heartbeat("/draining/t1/100/2");
     one.call(http::verb::get, "/read/1", "r2");
     const std::string text
-        = one.node.askAndWait(one.node.settings.metricsAddress, Request { http::verb::get, "/metrics", 11 })
+        = one.node.askAndWait(one.node.settings.operatorAddress, Request { http::verb::get, "/metrics", 11 })
               .response.body();
     BOOST_TEST(text.find("outcome=\"ok\",reason=\"none\"} 1") != std::string::npos);
     BOOST_TEST(text.find("outcome=\"not-run\"") != std::string::npos);
@@ -365,3 +365,25 @@
     BOOST_TEST(two.askOther().response.result_int() == 503U);
     BOOST_TEST(two.target.requests.size() == before);
 }
+
+BOOST_AUTO_TEST_CASE(whatANodeSaysOfItselfGoesBeforeItsRecordInTheStore)
+{
+    // A target that was ready before its node could register: the record must not hide that it serves.
+    asio::io_context loop;
+    MemoryStore store(loop);
+    ScriptedTarget target(loop, answerOk);
+    TestNode beside(loop, store, "n1", "books", target.address());
+    store.isAway = true;
+    beside.start();
+    BOOST_REQUIRE_EQUAL(beside.heartbeat("/ready/t1/100/1"), 200U);
+    BOOST_REQUIRE_EQUAL(beside.heartbeat("/ready/t1/100/2"), 200U);
+    for (int change = 0; change < 50; ++change)
+        store.set("configuration", "main", kRoutes);
+    store.isAway = false;
+    beside.awaitReady();
+    runUntil(loop, [&] { return store.puts == 1; });
+    const std::uint64_t registered = store.revision();
+    runUntil(loop, [&] { return beside.node->self().incarnation >= registered; });
+    BOOST_TEST(beside.node->self().isServing);
+    BOOST_TEST(beside.node->self().incarnation > registered);
+}
