Fault soak, fuzzing of the decoders, settings that change while a node runs

Soak (soak/): six real nodes of the users' platform as processes on loopback; targets, store, callers and a proxy on each link in one driver; troubles by seed from outside; promises judged by what callers and targets saw. Breakages: a test-only build drops one safeguard each. A node may tell others another address than it listens on (toldPeerAddress). Fuzzing (fuzz/): libFuzzer over all decoders of input from others.

--- /dev/null
+++ b/fuzz/decode-fuzz.cc
@@ -0,0 +1,122 @@
+// Coverage-guided fuzzing of everything that decodes input of others: configurations, heartbeats, messages
+// and calls between nodes, callers' headers. The first byte chooses the decoder. What is decoded is used a
+// little, so that values out of range show.
+#include "decode.h"
+#include "node/catalogue-interface.h"
+#include "relay/hop-wire.h"
+#include "relay/peer-message.h"
+
+#include "jackdawwall/membership.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace {
+
+using namespace jackdawwall;
+
+const absl::Time kNow = absl::FromUnixSeconds(1'800'000'000);
+
+void useConfiguration(const std::string& text)
+{
+    const absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
+    if (!table.ok())
+        return;
+    SplitState split;
+    for (const auto& [host, routes] : table->byHost) {
+        for (const Route& route : routes) {
+            static_cast<void>(matchRoute(*table, host, route.prefix));
+            static_cast<void>(chooseService(split, route));
+        }
+    }
+}
+
+void useTargetMessage(const std::string& text)
+{
+    relay::Request request { relay::http::verb::post, "/x?call=instances.heartbeat&of=t1", 11 };
+    request.body() = text;
+    const relay::TargetMessage message = platform::decodeTargetMessage(request);
+    TargetState state;
+    noteHeartbeat(state, message.heartbeat, kNow);
+    static_cast<void>(isServing(state));
+}
+
+void usePeerMessage(const std::string& text)
+{
+    const absl::StatusOr<relay::PeerMessage> message = relay::decodePeerMessage(text);
+    if (!message.ok())
+        return;
+    Member self;
+    self.peerAddress = "127.0.0.1:1";
+    MembershipState state = makeMembership(self, {}, kNow);
+    mergeMembers(state, message->members, kNow);
+    static_cast<void>(chooseNeighbours(state, 2));
+    static_cast<void>(relay::encodePeerMessage(*message));
+}
+
+/// Parses a head as a server does; empty when it is none.
+template <bool isRequest>
+std::optional<relay::http::message<isRequest, relay::http::string_body>> parse(const std::string& text)
+{
+    relay::http::parser<isRequest, relay::http::string_body> parser;
+    parser.eager(true);
+    relay::beast::error_code error;
+    parser.put(boost::asio::buffer(text), error);
+    if (error || !parser.is_done())
+        return std::nullopt;
+    return parser.release();
+}
+
+void useCall(const std::string& text)
+{
+    const auto request = parse<true>(text);
+    if (!request)
+        return;
+    static_cast<void>(readCallAsk(*request));
+    const auto hop = relay::decodeCall(*request, {}, kNow);
+    if (hop)
+        static_cast<void>(relay::encodeCallHead(hop->call, hop->service, kNow));
+}
+
+void useResult(const std::string& text)
+{
+    auto response = parse<false>(text);
+    if (response)
+        static_cast<void>(relay::decodeResult({ relay::ExchangeEnd::Complete, *std::move(response) }));
+}
+
+void useCatalogue(const std::string& text)
+{
+    static_cast<void>(unpackCatalogue(text));
+    static_cast<void>(unpackCatalogue(packCatalogue({ "catalogue", text, 7 })));
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    constexpr std::uint8_t kDecoders = 6;
+    if (size == 0)
+        return 0;
+    const std::string text(reinterpret_cast<const char*>(data + 1), size - 1);
+    switch (data[0] % kDecoders) {
+    case 0:
+        useConfiguration(text);
+        break;
+    case 1:
+        useTargetMessage(text);
+        break;
+    case 2:
+        usePeerMessage(text);
+        break;
+    case 3:
+        useCall(text);
+        break;
+    case 4:
+        useResult(text);
+        break;
+    default:
+        useCatalogue(text);
+    }
+    return 0;
+}
--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,47 @@
+/// Callers beside the nodes: send work on kept connections, leave early now and then, and ask each node which
+/// configuration is in force there.
+#pragma once
+
+#include "fleet.h"
+
+#include <list>
+#include <memory>
+
+namespace jackdawwall::soak {
+
+class Callers {
+public:
+    Callers(relay::asio::io_context& loop, Record& record, Fleet& fleet, std::uint64_t seed);
+
+    void start();
+    /// Sends nothing more.
+    void stop() { isStopped_ = true; }
+    /// Sendings without an end.
+    std::size_t open() const { return open_; }
+
+private:
+    void sendLoop();
+    void readyLoop();
+    void probeLoop();
+    void sendOne();
+    void leaveLater(const std::string& id, const std::shared_ptr<relay::Upstream>& connection, int node);
+    void onEnd(const std::string& id, int node, const relay::ExchangeResult& result);
+    void probe(Member& member);
+    std::shared_ptr<relay::Upstream> ask(const std::string& address, relay::Request request,
+        absl::Duration longest, const std::function<void(relay::ExchangeResult)>& done);
+    Target* workerOn(const std::string& id);
+
+    relay::asio::io_context& loop_;
+    Record& record_;
+    Fleet& fleet_;
+    std::mt19937_64 random_;
+    relay::UpstreamPool pool_;
+    relay::asio::steady_timer sendTimer_;
+    relay::asio::steady_timer readyTimer_;
+    relay::asio::steady_timer probeTimer_;
+    std::uint64_t count_ = 0;
+    std::size_t open_ = 0;
+    bool isStopped_ = false;
+};
+
+} // namespace jackdawwall::soak
--- /dev/null
+++ b/soak/main.cc
@@ -0,0 +1,121 @@
+// jackdaw-soak: one seed of the fault soak. Prints a line for each broken promise and the verdict.
+#include "callers.h"
+#include "faults.h"
+#include "main/command-line.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace jackdawwall::soak {
+namespace {
+
+constexpr auto kWatchInterval = std::chrono::milliseconds(20);
+/// After the last sending: for answers, late work and planned stops.
+constexpr absl::Duration kSettleTime = absl::Seconds(3);
+constexpr absl::Duration kLongestStart = absl::Seconds(10);
+/// A run that served less proves nothing.
+constexpr std::size_t kLeastAnswers = 200;
+
+struct SoakOptions {
+    FleetOptions fleet;
+    int seconds = 10;
+    bool isTimeless = false; ///< Leaves out the promises that have a bound in time.
+};
+
+/// Promises with a bound in time, which a machine too busy to run the callers in time can't judge.
+bool isTimed(const std::string& finding)
+{
+    for (const char* promise : { "drain", "configuration-", "planned-stop", "callers-that-left" }) {
+        if (absl::StartsWith(finding, absl::StrCat("promise=", promise)))
+            return true;
+    }
+    return false;
+}
+
+void watch(relay::asio::steady_timer& timer, Fleet& fleet)
+{
+    fleet.watchProcesses();
+    timer.expires_after(kWatchInterval);
+    timer.async_wait([&](relay::beast::error_code error) {
+        if (!error)
+            watch(timer, fleet);
+    });
+}
+
+void runFor(relay::asio::io_context& loop, absl::Duration time, const std::function<bool()>& isEarly)
+{
+    const absl::Time end = relay::steadyNow() + time;
+    while (relay::steadyNow() < end && !isEarly())
+        loop.run_one_for(std::chrono::milliseconds(20));
+}
+
+int runSeed(const SoakOptions& options)
+{
+    relay::asio::io_context loop;
+    Record record { Bounds {} };
+    Fleet fleet(loop, record, options.fleet);
+    Callers callers(loop, record, fleet, options.fleet.seed + 1);
+    relay::asio::steady_timer watchTimer(loop);
+    fleet.startAll();
+    watch(watchTimer, fleet);
+    callers.start();
+    const auto isReady = [&] {
+        return std::all_of(
+            fleet.members.begin(), fleet.members.end(), [](const auto& m) { return m->isReady; });
+    };
+    runFor(loop, kLongestStart, isReady);
+    if (!isReady())
+        record.broken("nodes-start", "not all are ready");
+    Faults faults(loop, fleet, options.fleet.seed);
+    faults.plan(absl::Seconds(options.seconds));
+    const auto never = [] { return false; };
+    runFor(loop, absl::Seconds(options.seconds), never);
+    callers.stop();
+    runFor(loop, kSettleTime, never);
+    record.finish();
+    if (record.answers() < kLeastAnswers)
+        record.broken("serves", absl::StrCat("answers=", record.answers()));
+    int broken = 0;
+    for (const std::string& finding : record.findings()) {
+        if (options.isTimeless && isTimed(finding))
+            continue;
+        ++broken;
+        std::cout << "broken seed=" << options.fleet.seed << " " << finding << "\n";
+    }
+    if (broken > 0) {
+        for (const std::string& trouble : faults.log())
+            std::cout << "trouble seed=" << options.fleet.seed << " " << trouble << "\n";
+    }
+    std::cout << "verdict=" << (broken == 0 ? "held" : "broken") << " seed=" << options.fleet.seed
+              << " sent=" << record.sendings() << " answered=" << record.answers()
+              << " troubles=" << faults.log().size() << " versions=" << fleet.version() << std::endl;
+    return broken == 0 ? kExitOk : kExitFailed;
+}
+
+} // namespace
+} // namespace jackdawwall::soak
+
+int main(int argc, char** argv)
+{
+    using namespace jackdawwall;
+    return runMain([&] {
+        TCLAP::CmdLine line("One seed of the fault soak.", ' ', kProgramVersion);
+        TCLAP::ValueArg<std::string> program("p", "program", "The node", true, "", "FILE", line);
+        TCLAP::ValueArg<std::string> folder("f", "folder", "For settings and logs", true, "", "DIR", line);
+        TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "", false, 1, "N", line);
+        TCLAP::ValueArg<int> nodes("n", "nodes", "", false, 6, "N", line);
+        TCLAP::ValueArg<int> seconds("t", "seconds", "", false, 10, "S", line);
+        TCLAP::SwitchArg timeless("u", "untimed", "Leaves out promises with a bound in time", line);
+        line.parse(argc, argv);
+        std::signal(SIGPIPE, SIG_IGN);
+        soak::SoakOptions options;
+        options.fleet = { program.getValue(), folder.getValue(), nodes.getValue(), seed.getValue() };
+        options.seconds = seconds.getValue();
+        options.isTimeless = timeless.getValue();
+        return soak::runSeed(options);
+    });
+}
--- /dev/null
+++ b/soak/process.cc
@@ -0,0 +1,88 @@
+#include "process.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace jackdawwall::soak {
+
+ReservedAddress::ReservedAddress()
+    : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    const int yes = 1;
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes) != 0
+        || bind(socket_, generic, length) != 0 || getsockname(socket_, generic, &length) != 0)
+        throw std::runtime_error("no address can be reserved");
+    text_ = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
+}
+
+ReservedAddress::~ReservedAddress()
+{
+    close(socket_);
+}
+
+Process::Process(std::string program, std::string settings, std::string log)
+    : program_(std::move(program))
+    , settings_(std::move(settings))
+    , log_(std::move(log))
+{
+}
+
+Process::~Process()
+{
+    if (pid_ <= 0)
+        return;
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+}
+
+void Process::start()
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(
+        &actions, STDOUT_FILENO, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    std::string program = program_;
+    std::string settings = settings_;
+    const std::array<char*, 3> arguments { program.data(), settings.data(), nullptr };
+    const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0)
+        throw std::runtime_error(absl::StrCat("can't start ", program_));
+}
+
+void Process::signal(int number) const
+{
+    if (pid_ > 0)
+        kill(pid_, number);
+}
+
+std::optional<ProcessEnd> Process::takeEnd()
+{
+    int status = 0;
+    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_)
+        return std::nullopt;
+    pid_ = 0;
+    if (WIFSIGNALED(status))
+        return ProcessEnd { WTERMSIG(status), true };
+    return ProcessEnd { WEXITSTATUS(status), false };
+}
+
+} // namespace jackdawwall::soak
--- /dev/null
+++ b/soak/record.cc
@@ -0,0 +1,145 @@
+#include "record.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jackdawwall::soak {
+namespace {
+
+/// A service with fewer cancelled works is not judged.
+constexpr int kLeastWorks = 8;
+/// Share of cancelled works that may go on.
+constexpr double kMostGoneOn = 0.25;
+
+bool isPromiseOfNotRun(unsigned status)
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+std::string milliseconds(absl::Duration time)
+{
+    return absl::StrCat(absl::ToInt64Milliseconds(time), " ms");
+}
+
+} // namespace
+
+void Record::broken(absl::string_view promise, absl::string_view detail)
+{
+    findings_.push_back(absl::StrCat("promise=", promise, " ", detail));
+}
+
+void Record::sent(const std::string& id, const Sending& sending)
+{
+    sendings_.emplace(id, sending);
+}
+
+void Record::answered(const std::string& id, const Answer& answer)
+{
+    answers_[id] = answer;
+    if (answer.status / 100 != 2)
+        return;
+    ++whole_;
+    if (!answer.isExpectedBody)
+        broken("whole-answers", absl::StrCat("request=", id, " got another body"));
+}
+
+void Record::arrived(const std::string& id, const Arrival& arrival, std::uint64_t bodyHash, bool isHeldUp)
+{
+    const auto sending = sendings_.find(id);
+    if (sending == sendings_.end())
+        broken("only-what-was-asked", absl::StrCat("request=", id, " was never sent"));
+    else if (sending->second.bodyHash != bodyHash)
+        broken("only-what-was-asked", absl::StrCat("request=", id, " has another body"));
+    arrivals_[id].push_back(arrival);
+    const auto leave = leaves_.find(arrival.lifetime);
+    if (leave == leaves_.end() || isHeldUp || arrival.at <= leave->second + bounds_.drain)
+        return;
+    broken("drain",
+        absl::StrCat("request=", id, " target=", arrival.lifetime, " after=\"",
+            milliseconds(arrival.at - leave->second), "\""));
+}
+
+void Record::acknowledgedLeave(const std::string& lifetime, absl::Time at)
+{
+    leaves_.emplace(lifetime, at);
+}
+
+void Record::workAfterLeaving(bool hasGoneOn)
+{
+    ++(hasGoneOn ? worksGoneOn_ : worksEnded_);
+}
+
+void Record::cutByPlannedStop(const std::string& id)
+{
+    broken("planned-stop", absl::StrCat("request=", id, " was cut off"));
+}
+
+void Record::sawVersion(
+    const std::string& process, std::uint64_t shown, std::uint64_t accepted, bool isBound, absl::Time sentAt)
+{
+    if (isBound && shown < accepted)
+        broken("configuration-in-force",
+            absl::StrCat("process=", process, " shows=", shown, " accepted=", accepted));
+    Shown& newest = shown_[process];
+    if (shown < newest.version && sentAt > newest.at + bounds_.rollbackSlack)
+        broken("configuration-never-back",
+            absl::StrCat("process=", process, " shows=", shown, " showed=", newest.version));
+    if (shown > newest.version)
+        newest = { shown, sentAt };
+}
+
+void Record::checkOne(const std::string& id, const Sending& sending)
+{
+    const auto found = arrivals_.find(id);
+    const std::vector<Arrival> arrivals = found == arrivals_.end() ? std::vector<Arrival>() : found->second;
+    const auto runs = std::count_if(
+        arrivals.begin(), arrivals.end(), [](const Arrival& arrival) { return arrival.hasRun; });
+    if (!sending.isRepeatable && runs > 1)
+        broken("at-most-once", absl::StrCat("request=", id, " ran=", runs));
+    const auto answer = answers_.find(id);
+    if (answer != answers_.end() && isPromiseOfNotRun(answer->second.status) && runs > 0)
+        broken(
+            "true-refusal", absl::StrCat("request=", id, " status=", answer->second.status, " ran=", runs));
+    if (static_cast<int>(arrivals.size()) > bounds_.attempts)
+        broken("attempts", absl::StrCat("request=", id, " arrivals=", arrivals.size()));
+}
+
+void Record::finish()
+{
+    std::set<std::string> services;
+    for (const auto& [id, sending] : sendings_) {
+        checkOne(id, sending);
+        services.insert(sending.service);
+    }
+    for (const std::string& service : services) {
+        std::vector<absl::Time> firsts;
+        std::vector<absl::Time> repeats;
+        for (const auto& [id, sending] : sendings_) {
+            if (sending.service != service)
+                continue;
+            firsts.push_back(sending.sentAt);
+            const auto found = arrivals_.find(id);
+            for (std::size_t index = 1; found != arrivals_.end() && index < found->second.size(); ++index)
+                repeats.push_back(found->second[index].at);
+        }
+        std::sort(repeats.begin(), repeats.end());
+        for (const absl::Time end : repeats) {
+            const auto inWindow = [&](absl::Time at) { return at > end - bounds_.repeatWindow && at <= end; };
+            const auto asked = std::count_if(firsts.begin(), firsts.end(), inWindow);
+            const auto repeated = std::count_if(repeats.begin(), repeats.end(), inWindow);
+            const double most = bounds_.repeatRatio * static_cast<double>(asked) + bounds_.repeatExtra;
+            if (static_cast<double>(repeated) <= most)
+                continue;
+            broken("retries-bounded",
+                absl::StrCat("service=", service, " repeated=", repeated, " asked=", asked, " most=", most));
+            break;
+        }
+    }
+    const int works = worksEnded_ + worksGoneOn_;
+    if (works >= kLeastWorks && worksGoneOn_ > kMostGoneOn * works)
+        broken("callers-that-left", absl::StrCat("went-on=", worksGoneOn_, " of=", works));
+}
+
+} // namespace jackdawwall::soak
--- /dev/null
+++ b/soak/store.cc
@@ -0,0 +1,177 @@
+#include "store.h"
+
+#include "adapter/json-reader.h"
+#include "wire-names.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace jackdawwall::soak {
+namespace {
+
+using relay::http::status;
+using relay::http::verb;
+
+constexpr auto kWatchPause = std::chrono::milliseconds(5);
+
+Json::Value objectJson(const std::string& name, std::uint64_t revision, const Json::Value& content)
+{
+    Json::Value object;
+    object["metadata"]["name"] = name;
+    object["metadata"]["revision"] = Json::UInt64(revision);
+    object["spec"] = content;
+    return object;
+}
+
+std::uint64_t numberAfter(absl::string_view text, absl::string_view name)
+{
+    const std::size_t place = text.find(name);
+    std::uint64_t number = 0;
+    if (place == absl::string_view::npos)
+        return 0;
+    const absl::string_view rest = text.substr(place + name.size());
+    static_cast<void>(absl::SimpleAtoi(rest.substr(0, rest.find('&')), &number)); // 0 for anything else.
+    return number;
+}
+
+} // namespace
+
+Store::Store(relay::asio::io_context& loop, relay::Tcp::acceptor acceptor, std::uint64_t seed)
+    : loop_(loop)
+    , address_(relay::addressOf(acceptor))
+    , timer_(loop)
+    , random_(seed)
+    , listener_(
+          loop, std::move(acceptor), [this](const relay::IncomingPtr& incoming) { onRequest(incoming); })
+{
+    serveWatches();
+}
+
+void Store::put(const std::string& kind, const std::string& name, const Json::Value& content)
+{
+    objects_[kind][name] = { ++revision_, content };
+}
+
+void Store::dropHistory()
+{
+    oldestKnown_ = revision_;
+}
+
+void Store::onRequest(const relay::IncomingPtr& incoming)
+{
+    if (faults.isSilent)
+        return;
+    const std::string target(incoming->request.target());
+    if (faults.isDown || !absl::StartsWith(target, platform::kObjectsPath)) {
+        answer(incoming, relay::makeAnswer(status::service_unavailable, "down\n"));
+        return;
+    }
+    const std::string path = target.substr(sizeof platform::kObjectsPath - 1);
+    const std::vector<std::string> parts = absl::StrSplit(path.substr(0, path.find('?')), '/');
+    const std::string name = parts.size() > 1 ? parts[1] : "";
+    if (absl::StrContains(target, "watch=")) {
+        watch(incoming, parts[0]);
+    } else if (incoming->request.method() != verb::get) {
+        relay::Response response = write(incoming, parts[0], name);
+        const bool isLost = std::uniform_real_distribution<>(0, 1)(random_) < faults.lostShare;
+        if (!isLost)
+            answer(incoming, std::move(response));
+    } else if (name.empty()) {
+        answer(incoming, list(parts[0]));
+    } else if (objects_[parts[0]].contains(name)) {
+        const Object& held = objects_[parts[0]][name];
+        answer(incoming,
+            relay::makeJsonAnswer(status::ok, canonicalJson(objectJson(name, held.revision, held.content))));
+    } else {
+        answer(incoming, relay::makeAnswer(status::not_found, ""));
+    }
+}
+
+void Store::answer(const relay::IncomingPtr& incoming, relay::Response response)
+{
+    auto timer = std::make_shared<relay::asio::steady_timer>(loop_, absl::ToChronoMicroseconds(faults.delay));
+    timer->async_wait(
+        [timer, incoming, response](const boost::system::error_code&) { incoming->answer(response); });
+}
+
+relay::Response Store::write(const relay::IncomingPtr& incoming, const std::string& kind, std::string name)
+{
+    std::vector<Finding> findings;
+    const auto body = parseJson({ "object", incoming->request.body(), &findings });
+    if (!body)
+        return relay::makeAnswer(status::bad_request, "");
+    const bool isCreate = incoming->request.method() == verb::post;
+    if (isCreate)
+        name = (*body)["metadata"]["name"].asString();
+    const bool isHeld = objects_[kind].contains(name);
+    if (isCreate == isHeld)
+        return relay::makeAnswer(isHeld ? status::conflict : status::not_found, "");
+    put(kind, name, (*body)["spec"]);
+    return relay::makeJsonAnswer(status::ok, canonicalJson(objectJson(name, revision_, (*body)["spec"])));
+}
+
+relay::Response Store::list(const std::string& kind)
+{
+    Json::Value reply;
+    reply["items"] = Json::Value(Json::arrayValue);
+    for (const auto& [name, object] : objects_[kind])
+        reply["items"].append(objectJson(name, object.revision, object.content));
+    reply["at_rev"] = Json::UInt64(revision_);
+    reply["has_more"] = false;
+    return relay::makeJsonAnswer(status::ok, canonicalJson(reply));
+}
+
+void Store::watch(const relay::IncomingPtr& incoming, const std::string& kind)
+{
+    const std::string target(incoming->request.target());
+    const absl::Duration longest
+        = absl::Milliseconds(static_cast<std::int64_t>(numberAfter(target, "wait_ms=")));
+    watches_.push_back({ kind, numberAfter(target, "watch="), relay::steadyNow() + longest, incoming });
+}
+
+Json::Value Store::changes(const std::string& kind, std::uint64_t after) const
+{
+    Json::Value events(Json::arrayValue);
+    const auto found = objects_.find(kind);
+    if (found == objects_.end())
+        return events;
+    for (const auto& [name, object] : found->second) {
+        if (object.revision <= after)
+            continue;
+        Json::Value event;
+        event["object"] = objectJson(name, object.revision, object.content);
+        event["deleted"] = false;
+        events.append(event);
+    }
+    return events;
+}
+
+void Store::serveWatches()
+{
+    const absl::Time now = relay::steadyNow();
+    std::erase_if(watches_, [&](const Watch& waiting) {
+        if (faults.isSilent)
+            return false;
+        if (waiting.after < oldestKnown_ && oldestKnown_ > 1) {
+            answer(waiting.incoming, relay::makeAnswer(status::gone, ""));
+            return true;
+        }
+        const Json::Value events = changes(waiting.kind, waiting.after);
+        if (events.empty() && now < waiting.until)
+            return false;
+        Json::Value reply;
+        reply["events"] = events;
+        reply["at_rev"] = Json::UInt64(revision_);
+        answer(waiting.incoming, relay::makeJsonAnswer(status::ok, canonicalJson(reply)));
+        return true;
+    });
+    timer_.expires_after(kWatchPause);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            serveWatches();
+    });
+}
+
+} // namespace jackdawwall::soak
--- /dev/null
+++ b/soak/target.cc
@@ -0,0 +1,288 @@
+#include "target.h"
+
+#include "adapter/json-reader.h"
+#include "jackdawwall/core.h"
+#include "wire-names.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include <boost/asio/write.hpp>
+
+namespace jackdawwall::soak {
+namespace {
+
+using relay::Request;
+using relay::http::verb;
+
+constexpr auto kBeatInterval = std::chrono::milliseconds(300);
+constexpr int kSlots = 12;
+constexpr int kLeastWorkMs = 3;
+constexpr int kMostWorkMs = 60;
+constexpr int kSlowFactor = 8;
+constexpr std::uint64_t kMostBodyBytes = 60'000;
+
+std::string head(int status, const std::string& id, const std::string& more)
+{
+    const relay::HeaderNames names = platform::headerNames();
+    return absl::StrCat("HTTP/1.1 ", status, " X\r\n", names.requestId, ": ", id, "\r\n", names.seal,
+        ": s\r\n", more, "\r\n");
+}
+
+std::string wholeAnswer(const std::string& id)
+{
+    const std::string body = bodyFor(id);
+    return head(200, id, absl::StrCat("Content-Length: ", body.size(), "\r\n")) + body;
+}
+
+} // namespace
+
+std::string bodyFor(const std::string& id)
+{
+    const std::uint64_t hash = stableHash(id);
+    std::string body = absl::StrCat("answer to ", id, "\n");
+    body.resize(body.size() + hash % kMostBodyBytes, static_cast<char>('a' + hash % 26));
+    return body;
+}
+
+/// One connection of the node; serves one request at a time.
+class Target::Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(Target& target, relay::Tcp::socket socket)
+        : target_(target)
+        , socket_(std::move(socket))
+        , timer_(target.loop_)
+    {
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(64ULL << 20);
+        relay::http::async_read(socket_, buffer_, *parser_,
+            [self = shared_from_this()](relay::beast::error_code error, std::size_t) {
+                if (error)
+                    self->end(false);
+                else
+                    self->onRequest();
+            });
+    }
+
+    void end(bool isReset)
+    {
+        relay::beast::error_code ignored;
+        if (isReset)
+            socket_.set_option(relay::asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+        timer_.cancel();
+        stopWork();
+        target_.connections_.erase(shared_from_this());
+    }
+
+private:
+    void stopWork()
+    {
+        const auto found = target_.works_.find(id_);
+        if (isWorking_ && found != target_.works_.end())
+            target_.works_.erase(found);
+        isWorking_ = false;
+    }
+
+    void onRequest()
+    {
+        const Request request = parser_->release();
+        read(); // The next request, or the end of a caller that leaves.
+        const relay::HeaderNames names = platform::headerNames();
+        id_ = std::string(relay::headerOf(request, names.requestId));
+        if (relay::headerOf(request, names.expectTarget) != target_.lifetime()) {
+            reply(head(421, id_, absl::StrCat(names.notRun, ": 1\r\nContent-Length: 0\r\n")), false);
+            return;
+        }
+        const double drawn = std::uniform_real_distribution<>(0, 1)(target_.random_);
+        misdeed_ = drawn < target_.misdeedShare_ ? target_.misdeed_ : Misdeed::None;
+        const bool isRefused = misdeed_ == Misdeed::Refuse;
+        target_.record_.arrived(id_, { target_.lifetime(), relay::steadyNow(), !isRefused },
+            stableHash(request.body()), target_.isHeldUp());
+        if (isRefused) {
+            reply(head(503, id_, absl::StrCat(names.notRun, ": 1\r\nContent-Length: 0\r\n")), false);
+            return;
+        }
+        isWorking_ = true;
+        target_.works_.insert(id_);
+        if (misdeed_ == Misdeed::Hang)
+            return;
+        const int factor = misdeed_ == Misdeed::Slow ? kSlowFactor : 1;
+        const auto work = std::uniform_int_distribution<>(kLeastWorkMs, kMostWorkMs)(target_.random_);
+        timer_.expires_after(std::chrono::milliseconds(factor * work));
+        timer_.async_wait([self = shared_from_this()](relay::beast::error_code error) {
+            if (!error)
+                self->answer();
+        });
+    }
+
+    void answer()
+    {
+        stopWork();
+        const std::string whole = wholeAnswer(id_);
+        switch (misdeed_) {
+        case Misdeed::LoseAnswer:
+            end(true);
+            break;
+        case Misdeed::CutAnswer:
+            reply(whole.substr(0, whole.size() / 2), true);
+            break;
+        case Misdeed::SecondAnswer:
+            reply(whole + wholeAnswer(id_ + "-second"), false);
+            break;
+        case Misdeed::Unframed:
+            reply(head(200, id_, "Connection: close\r\n") + bodyFor(id_), true);
+            break;
+        default:
+            reply(whole, false);
+        }
+    }
+
+    void reply(std::string bytes, bool isLast)
+    {
+        writing_ = std::move(bytes);
+        relay::asio::async_write(socket_, relay::asio::buffer(writing_),
+            [self = shared_from_this(), isLast](relay::beast::error_code error, std::size_t) {
+                if (error || isLast)
+                    self->end(false);
+            });
+    }
+
+    Target& target_;
+    relay::Tcp::socket socket_;
+    relay::asio::steady_timer timer_;
+    relay::beast::flat_buffer buffer_;
+    std::optional<relay::http::request_parser<relay::http::string_body>> parser_;
+    std::string id_;
+    std::string writing_;
+    Misdeed misdeed_ = Misdeed::None;
+    bool isWorking_ = false;
+};
+
+Target::Target(relay::asio::io_context& loop, Record& record, std::string name, std::string service,
+    relay::Tcp::acceptor acceptor, std::string heartbeatAddress, std::uint64_t seed)
+    : loop_(loop)
+    , record_(record)
+    , name_(std::move(name))
+    , service_(std::move(service))
+    , acceptor_(std::move(acceptor))
+    , heartbeatAddress_(std::move(heartbeatAddress))
+    , random_(seed)
+    , pool_(loop)
+    , beatTimer_(loop)
+    , endTimer_(loop)
+{
+    begin();
+    accept();
+    beat();
+}
+
+Target::~Target()
+{
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+        connection->end(true);
+}
+
+std::string Target::lifetime() const
+{
+    return absl::StrCat(name_, "-", number_);
+}
+
+void Target::begin()
+{
+    ++number_;
+    sequence_ = 0;
+    bornMs_ = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()));
+    state_ = State::Ready;
+}
+
+void Target::setMisdeed(Misdeed misdeed, double share)
+{
+    misdeed_ = misdeed;
+    misdeedShare_ = share;
+}
+
+void Target::accept()
+{
+    acceptor_.async_accept([this](relay::beast::error_code error, relay::Tcp::socket socket) {
+        if (error)
+            return;
+        const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+        if (state_ == State::Down) {
+            connections_.insert(connection);
+            connection->end(true);
+        } else {
+            connections_.insert(connection);
+            connection->read();
+        }
+        accept();
+    });
+}
+
+void Target::beat()
+{
+    if (state_ == State::Ready || state_ == State::Draining)
+        say(absl::StrCat(platform::kHeartbeatQuery, lifetime()), state_ == State::Draining);
+    beatTimer_.expires_after(kBeatInterval);
+    beatTimer_.async_wait([this](relay::beast::error_code error) {
+        if (!error)
+            beat();
+    });
+}
+
+void Target::say(const std::string& query, bool isLeave)
+{
+    Json::Value body;
+    body["born"] = Json::UInt64(bornMs_);
+    body["service"] = service_;
+    body["address"] = address();
+    body["state"] = state_ == State::Ready ? "ready" : "draining";
+    body["sequence"] = Json::UInt64(++sequence_);
+    body["capacity"] = kSlots;
+    body["cold_left_ms"] = 0;
+    Request request { verb::post, absl::StrCat("/jackdawwall/rpc?", query), 11 };
+    request.body() = canonicalJson(body);
+    request.prepare_payload();
+    relay::ExchangePlan plan;
+    plan.bytes = relay::toBytes(request);
+    pool_.send(relay::parseEndpoint(heartbeatAddress_), std::move(plan),
+        [this, isLeave, spoken = lifetime()](const relay::ExchangeResult& result) {
+            const bool isAcknowledged
+                = result.end == relay::ExchangeEnd::Complete && result.response.result_int() == 200;
+            if (isLeave && isAcknowledged)
+                record_.acknowledgedLeave(spoken, relay::steadyNow());
+        });
+}
+
+void Target::leave(bool hasNoDraining, absl::Duration drainTime)
+{
+    if (state_ != State::Ready)
+        return;
+    state_ = hasNoDraining ? State::Left : State::Draining;
+    say(absl::StrCat(hasNoDraining ? platform::kLeaveQuery : platform::kHeartbeatQuery, lifetime()), true);
+    endTimer_.expires_after(absl::ToChronoMicroseconds(drainTime));
+    endTimer_.async_wait([this](relay::beast::error_code error) {
+        if (!error)
+            crash(absl::Milliseconds(200));
+    });
+}
+
+void Target::crash(absl::Duration downTime)
+{
+    state_ = State::Down;
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+        connection->end(true);
+    endTimer_.expires_after(absl::ToChronoMicroseconds(downTime));
+    endTimer_.async_wait([this](relay::beast::error_code error) {
+        if (!error)
+            begin();
+    });
+}
+
+} // namespace jackdawwall::soak
--- a/src/relay/byte-budget.h
+++ b/src/relay/byte-budget.h
@@ -14,6 +14,7 @@
     }
 
     std::size_t held() const { return held_; }
+    void setLimit(std::size_t limit) { limit_ = limit; }
 
 private:
     friend class HeldBytes;
--- a/src/relay/caller-call.cc
+++ b/src/relay/caller-call.cc
@@ -1,5 +1,6 @@
 #include "relay/caller-call.h"
 
+#include "relay/breakage.h"
 #include "relay/hop-wire.h"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
 /// Statuses of 500 and 501 are the application's verdict; another target would say the same.
 constexpr unsigned kInternalError = 500;
 constexpr unsigned kNotImplemented = 501;
+/// For the deliberate breakage only.
+constexpr int kUnboundedAttempts = 9;
 
 /// What a result says of the call.
 AttemptReport reportOf(const GateResult& result)
@@ -62,6 +65,10 @@
     , timer_(state.loop)
     , hedgeTimer_(state.loop)
 {
+    if (isBroken("at-most-once"))
+        call_.context.isRepeatable = true;
+    if (isBroken("attempts"))
+        call_.attempts = kUnboundedAttempts;
 }
 
 void CallerCall::start()
@@ -247,7 +254,7 @@
 
 void CallerCall::abandon()
 {
-    if (isDone_)
+    if (isDone_ || isBroken("callers-that-left"))
         return;
     const bool mayHaveRun = !attempts_.empty() || call_.worst.outcome != Outcome::Ok;
     breakOff();
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -1,6 +1,7 @@
 #include "relay/relay-node.h"
 
 #include "adapter/log.h"
+#include "relay/breakage.h"
 #include "relay/hop-wire.h"
 #include "relay/operator-port.h"
 
@@ -101,6 +102,15 @@
         static_cast<double>(state_.settings.descriptors) * kCallerDescriptorShare);
 }
 
+void RelayNode::reload(const RelaySettings& fresh)
+{
+    applySettings(state_, fresh);
+    logEvent(LogLevel::Info, "settings-applied",
+        { { "memory_bytes", fresh.memoryBytes }, { "descriptors", fresh.descriptors },
+            { "stop_ms", absl::ToInt64Milliseconds(fresh.stopTime) },
+            { "repeat_ratio", fresh.repeats ? fresh.repeats->ratio : 0 } });
+}
+
 std::size_t RelayNode::servingMembers() const
 {
     std::size_t count = 0;
@@ -297,6 +307,8 @@
         logEvent(LogLevel::Warning, "configuration-refused", { { "error", told.status().message() } });
         return false;
     }
+    if (isBroken("configurations") && state_.configuration.version > 0)
+        return true;
     if (told->version <= state_.configuration.version)
         return true;
     logEvent(LogLevel::Info, "configuration-applied",
@@ -325,6 +337,8 @@
     stoppingSince_ = steadyNow();
     state_.stopsAt = stoppingSince_ + state_.settings.stopTime - kStopReserve;
     logEvent(LogLevel::Info, "stopping", { { "open", callers_.openRequests() + peers_.openRequests() } });
+    if (isBroken("planned-stops"))
+        loop_.stop();
     callers_.startClosing();
     updateSelf(0);
     link_.announce();
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -24,6 +24,8 @@
     std::size_t servingMembers() const;
     /// See rankAmongMembers.
     std::size_t rank() const { return rankAmongMembers(state_); }
+    /// See applySettings.
+    void reload(const RelaySettings& fresh);
     /// Makes a peer known before anything is heard of it.
     void introduce(const std::string& peerAddress);
     /// Puts a configuration document in force if it is newer and tells other nodes. False when it is invalid.
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -34,6 +34,9 @@
     settings.dataCentre = reader.requiredText("dataCentre");
     settings.callerAddress = reader.address("callerAddress", "127.0.0.1:0");
     settings.peerAddress = reader.address("peerAddress", "127.0.0.1:0");
+    settings.toldPeerAddress = reader.text("toldPeerAddress", "");
+    if (!settings.toldPeerAddress.empty() && !isAddress(settings.toldPeerAddress))
+        reader.finding("toldPeerAddress", "must be an address like 127.0.0.1:8080");
     settings.readyAddress = reader.address("readyAddress", "127.0.0.1:0");
     settings.heartbeatAddress = reader.address("heartbeatAddress", "127.0.0.1:0");
     settings.operatorAddress = reader.address("operatorAddress", "127.0.0.1:0");
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -21,6 +21,7 @@
     std::string dataCentre;
     std::string callerAddress; ///< For callers and the own target.
     std::string peerAddress; ///< For other nodes.
+    std::string toldPeerAddress; ///< By which other nodes reach it, where that differs; empty: the same.
     std::string readyAddress; ///< Answers whether callers may be sent here; empty: none.
     std::string heartbeatAddress; ///< For the own target's heartbeats; empty: it is taken as ready.
     std::string operatorAddress; ///< Status, members, metrics and recent events; empty: none.
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -6,7 +6,7 @@
 Member selfMember(const RelaySettings& settings)
 {
     Member self;
-    self.peerAddress = settings.peerAddress;
+    self.peerAddress = settings.toldPeerAddress.empty() ? settings.peerAddress : settings.toldPeerAddress;
     self.operatorAddress = settings.operatorAddress;
     self.isServing = false; // Until the target says that it is ready.
     self.service = settings.service;
@@ -25,6 +25,11 @@
     return decisions;
 }
 
+std::size_t heldBodiesLimit(const RelaySettings& settings)
+{
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * kHeldBodiesShare);
+}
+
 GateOptions gateOptions(const RelaySettings& settings)
 {
     GateOptions options;
@@ -40,13 +45,25 @@
 RelayState::RelayState(asio::io_context& ioLoop, RelaySettings given)
     : loop(ioLoop)
     , settings(std::move(given))
-    , heldBodies(static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * kHeldBodiesShare))
+    , heldBodies(heldBodiesLimit(settings))
     , pool(ioLoop)
     , decisions(decisionsFor(settings))
     , gate(decisions, pool, requestLog, gateOptions(settings))
 {
 }
 
+void applySettings(RelayState& state, const RelaySettings& fresh)
+{
+    RelaySettings& settings = state.settings;
+    settings.memoryBytes = fresh.memoryBytes;
+    settings.descriptors = fresh.descriptors;
+    settings.gossipInterval = fresh.gossipInterval;
+    settings.stopTime = fresh.stopTime;
+    settings.repeats = fresh.repeats;
+    state.heldBodies.setLimit(heldBodiesLimit(settings));
+    state.gate.setBudget(settings.repeats);
+}
+
 void membersChanged(RelayState& state)
 {
     membersChanged(state.decisions);
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -45,6 +45,9 @@
     absl::Time stopsAt = absl::InfiniteFuture(); ///< When the process has to be gone.
 };
 
+/// Takes over what may change while a node runs: its bounds and times, not its addresses and names.
+void applySettings(RelayState& state, const RelaySettings& fresh);
+
 /// Forgets what was derived from the membership.
 void membersChanged(RelayState& state);
 
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -1,5 +1,7 @@
 #include "relay/routed-interface.h"
 
+#include "relay/breakage.h"
+
 #include <algorithm>
 
 namespace jackdawwall::relay {
@@ -45,7 +47,7 @@
 {
     if (failure.reason == Reason::Timeout)
         return makeAnswer(http::status::gateway_timeout, "the time limit has passed\n");
-    if (failure.outcome != Outcome::NotRun)
+    if (failure.outcome != Outcome::NotRun && !isBroken("true-refusals"))
         return makeAnswer(http::status::bad_gateway, "the target's answer was lost\n");
     const absl::Duration retryAfter
         = std::max(absl::Milliseconds(1), std::min(kLongestRetryAfter, callerLeft * kRetryAfterShare));
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -1,5 +1,7 @@
 #include "relay/target-gate.h"
 
+#include "relay/breakage.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -67,7 +69,7 @@
     held->done = std::move(done);
     held->since = now;
     calls_.emplace(id, held);
-    if (!isServing(target_)) {
+    if (!isServing(target_) && !isBroken("leaves")) {
         refuse(id, target_.phase == TargetPhase::Leaving ? Reason::Leaving : Reason::NoTarget);
         return id;
     }
@@ -106,7 +108,7 @@
     plan.bytes = requestHead(*held, now);
     plan.body = { held->call.request, &held->call.request->body() };
     plan.isHead = held->call.request->method() == http::verb::head;
-    plan.idHeader = options_.names.requestId;
+    plan.idHeader = isBroken("answer-ids") ? "" : options_.names.requestId;
     plan.id = context.requestId;
     plan.connectTime = kConnectTime;
     plan.freshFor = context.isRepeatable ? kReuse : options_.unsafeReuse;
@@ -167,7 +169,7 @@
     if (isNotRun)
         return { GateEnd::Rejected, Reason::TargetShed, {}, {} };
     const absl::string_view id = headerOf(response, names.requestId);
-    const bool isForeign = !id.empty() && id != held.call.context.requestId;
+    const bool isForeign = !isBroken("answer-ids") && !id.empty() && id != held.call.context.requestId;
     // A seal covers the body as the target made it, which is never encoded.
     const bool isSpoilt = !names.seal.empty()
         && (headerOf(response, names.seal).empty() || response.count(http::field::content_encoding) != 0);
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -71,6 +71,7 @@
     void targetChanged(const TargetState& target);
     /// Nodes beside targets of the same service, this one included.
     void setTargetCount(std::size_t count) { targetCount_ = count; }
+    void setBudget(const std::optional<ArrivalBudgetOptions>& budget) { options_.budget = budget; }
     /// Refuses what waited too long; call it every 10 to 50 ms.
     void tick(absl::Time now);
     int waiting() const { return static_cast<int>(decisions_.admission.waiting.size()); }
--- a/support/install-packages.sh
+++ b/support/install-packages.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Installs what the build, the tests and the linters need; does nothing when it is all there.
 set -eu
-packages=(g++ cmake ninja-build pkg-config curl clang-format clang-tidy
+packages=(g++ cmake ninja-build pkg-config curl clang clang-format clang-tidy
   libabsl-dev
   libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev libspdlog-dev libtclap-dev
-  libboost-dev libboost-test-dev)
+  libboost-dev libboost-test-dev libclang-rt-14-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -387,3 +387,23 @@
     BOOST_TEST(beside.node->self().isServing);
     BOOST_TEST(beside.node->self().incarnation > registered);
 }
+
+BOOST_AUTO_TEST_CASE(aBodyThatFindsNoRoomIsRefusedBeforeItIsRead)
+{
+    OneNode one(answerOk);
+    RelaySettings fresh = one.node.settings;
+    fresh.memoryBytes = 1000;
+    one.node.node->reload(fresh);
+    const std::string large(5000, 'x');
+    const auto send = [&](const std::string& id) {
+        return one.node.askAndWait(
+            one.node.settings.callerAddress, callerRequest(http::verb::post, "/book/1", id, large));
+    };
+    const ExchangeResult refused = send("r1");
+    BOOST_TEST(refused.response.result_int() == 503U);
+    BOOST_TEST(!refused.response[http::field::retry_after].empty());
+    BOOST_TEST(one.target.requests.empty());
+    fresh.memoryBytes = 1U << 20;
+    one.node.node->reload(fresh);
+    BOOST_TEST(send("r2").response.result_int() == 200U);
+}
