Soak: long work, late second answers, whole services that misbehave; what a caller left is looked at

Three of eight breakages went unnoticed (attempts, answer ids, callers that left): works ended by themselves before anybody looked, second answers came before the next request.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -146,7 +146,7 @@
 Target* Callers::workerOn(const std::string& id)
 {
     for (const auto& member : fleet_.members) {
-        if (member->target->isWorkingOn(id))
+        if (member->target->workEnd(id))
             return member->target.get();
     }
     return nullptr;
@@ -164,13 +164,15 @@
         connection->cancel();
         record_.left(id);
         --open_;
+        if (*worker->workEnd(id) < relay::steadyNow() + kBounds.cancel * 1.5)
+            return; // It ends by itself before anybody looks.
         timer->expires_after(absl::ToChronoMicroseconds(kBounds.cancel));
         timer->async_wait([this, timer, id, node, worker](relay::beast::error_code) {
             const bool isCounted
                 = relay::steadyNow() > fleet_.members[static_cast<std::size_t>(node)]->disturbedUntil
                 && !worker->isHeldUp();
             if (isCounted)
-                record_.workAfterLeaving(worker->isWorkingOn(id));
+                record_.workAfterLeaving(worker->workEnd(id).has_value());
         });
     });
 }
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -214,9 +214,16 @@
 {
     constexpr std::array kMisdeeds { Misdeed::LoseAnswer, Misdeed::CutAnswer, Misdeed::SecondAnswer,
         Misdeed::Unframed, Misdeed::Refuse, Misdeed::Hang, Misdeed::Slow };
-    Target& target = *member.target;
-    target.setMisdeed(kMisdeeds.at(random_() % kMisdeeds.size()), share(0.1, 0.8));
-    at(between(400, 2500), [&target] { target.setMisdeed(Misdeed::None, 0); });
+    const Misdeed misdeed = kMisdeeds.at(random_() % kMisdeeds.size());
+    const bool isWholeService = random_() % kSeriesShare == 0;
+    const absl::Duration time = between(400, 2500);
+    for (const auto& each : fleet_.members) {
+        if (each.get() != &member && (!isWholeService || each->service != member.service))
+            continue;
+        Target& target = *each->target;
+        target.setMisdeed(misdeed, share(0.1, 0.8));
+        at(time, [&target] { target.setMisdeed(Misdeed::None, 0); });
+    }
 }
 
 } // namespace jackdawwall::soak
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -92,7 +92,8 @@
     }
     std::cout << "verdict=" << (broken == 0 ? "held" : "broken") << " seed=" << options.fleet.seed
               << " sent=" << record.sendings() << " answered=" << record.answers()
-              << " troubles=" << faults.log().size() << " versions=" << fleet.version() << std::endl;
+              << " refused=" << record.refusals() << " troubles=" << faults.log().size()
+              << " versions=" << fleet.version() << std::endl;
     return broken == 0 ? kExitOk : kExitFailed;
 }
 
--- a/soak/record.cc
+++ b/soak/record.cc
@@ -38,6 +38,7 @@
 void Record::answered(const std::string& id, const Answer& answer)
 {
     answers_[id] = answer;
+    refused_ += isPromiseOfNotRun(answer.status) ? 1 : 0;
     if (answer.status / 100 != 2)
         return;
     ++whole_;
--- a/soak/record.h
+++ b/soak/record.h
@@ -76,6 +76,7 @@
 
     const std::vector<std::string>& findings() const { return findings_; }
     std::size_t answers() const { return whole_; }
+    std::size_t refusals() const { return refused_; }
     std::size_t sendings() const { return sendings_.size(); }
 
 private:
@@ -94,6 +95,7 @@
     };
     absl::flat_hash_map<std::string, Shown> shown_; ///< By process lifetime.
     std::size_t whole_ = 0;
+    std::size_t refused_ = 0;
     int worksEnded_ = 0;
     int worksGoneOn_ = 0;
     std::vector<std::string> findings_;
--- a/soak/target.cc
+++ b/soak/target.cc
@@ -20,6 +20,11 @@
 constexpr int kLeastWorkMs = 3;
 constexpr int kMostWorkMs = 60;
 constexpr int kSlowFactor = 8;
+/// One work in so many is long: callers that leave it are looked at.
+constexpr std::uint64_t kLongShare = 10;
+constexpr int kLongWorkMs = 1000;
+/// A second answer may come when the connection already carries the next request.
+constexpr std::uint64_t kSecondAfterMs = 30;
 constexpr std::uint64_t kMostBodyBytes = 60'000;
 
 std::string head(int status, const std::string& id, const std::string& more)
@@ -108,12 +113,16 @@
             return;
         }
         isWorking_ = true;
-        target_.works_.insert(id_);
-        if (misdeed_ == Misdeed::Hang)
-            return;
         const int factor = misdeed_ == Misdeed::Slow ? kSlowFactor : 1;
-        const auto work = std::uniform_int_distribution<>(kLeastWorkMs, kMostWorkMs)(target_.random_);
-        timer_.expires_after(std::chrono::milliseconds(factor * work));
+        const bool isLong = target_.random_() % kLongShare == 0;
+        int work = factor * std::uniform_int_distribution<>(kLeastWorkMs, kMostWorkMs)(target_.random_);
+        work = isLong ? kLongWorkMs : work;
+        const bool isHanging = misdeed_ == Misdeed::Hang;
+        target_.works_.emplace(
+            id_, isHanging ? absl::InfiniteFuture() : relay::steadyNow() + absl::Milliseconds(work));
+        if (isHanging)
+            return;
+        timer_.expires_after(std::chrono::milliseconds(work));
         timer_.async_wait([self = shared_from_this()](relay::beast::error_code error) {
             if (!error)
                 self->answer();
@@ -132,7 +141,8 @@
             reply(whole.substr(0, whole.size() / 2), true);
             break;
         case Misdeed::SecondAnswer:
-            reply(whole + wholeAnswer(id_ + "-second"), false);
+            reply(whole, false);
+            secondLater();
             break;
         case Misdeed::Unframed:
             reply(head(200, id_, "Connection: close\r\n") + bodyFor(id_), true);
@@ -142,11 +152,23 @@
         }
     }
 
+    void secondLater()
+    {
+        auto timer = std::make_shared<relay::asio::steady_timer>(
+            target_.loop_, std::chrono::milliseconds(target_.random_() % kSecondAfterMs));
+        timer->async_wait([self = shared_from_this(), timer, id = id_](relay::beast::error_code) {
+            if (!self->isWriting_)
+                self->reply(wholeAnswer(id + "-second"), false);
+        });
+    }
+
     void reply(std::string bytes, bool isLast)
     {
         writing_ = std::move(bytes);
+        isWriting_ = true;
         relay::asio::async_write(socket_, relay::asio::buffer(writing_),
             [self = shared_from_this(), isLast](relay::beast::error_code error, std::size_t) {
+                self->isWriting_ = false;
                 if (error || isLast)
                     self->end(false);
             });
@@ -161,6 +183,7 @@
     std::string writing_;
     Misdeed misdeed_ = Misdeed::None;
     bool isWorking_ = false;
+    bool isWriting_ = false;
 };
 
 Target::Target(relay::asio::io_context& loop, Record& record, std::string name, std::string service,
@@ -193,6 +216,12 @@
     return absl::StrCat(name_, "-", number_);
 }
 
+std::optional<absl::Time> Target::workEnd(const std::string& id) const
+{
+    const auto found = works_.find(id);
+    return found == works_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void Target::begin()
 {
     ++number_;
--- a/soak/target.h
+++ b/soak/target.h
@@ -7,7 +7,9 @@
 #include "relay/upstream.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -35,8 +37,8 @@
     void crash(absl::Duration downTime);
     /// True while the way from the node beside it is disturbed, or was a moment ago.
     std::function<bool()> isHeldUp = [] { return false; };
-    /// Ids of the requests that it works on now.
-    bool isWorkingOn(const std::string& id) const { return works_.contains(id); }
+    /// When its work on a request will end; empty when it does not work on it.
+    std::optional<absl::Time> workEnd(const std::string& id) const;
     bool isSound() const { return misdeed_ == Misdeed::None && state_ == State::Ready; }
 
 private:
@@ -59,7 +61,7 @@
     relay::asio::steady_timer beatTimer_;
     relay::asio::steady_timer endTimer_;
     std::set<std::shared_ptr<Connection>> connections_;
-    std::multiset<std::string> works_;
+    std::multimap<std::string, absl::Time> works_; ///< Under way, with their ends.
     State state_ = State::Ready;
     Misdeed misdeed_ = Misdeed::None;
     double misdeedShare_ = 0;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -231,6 +231,12 @@
         incoming->answer(makeAnswer(http::status::bad_request, "unreadable, or of another service\n"));
         return;
     }
+    const bool isLeaving
+        = message.kind == TargetMessage::Kind::Leave || message.heartbeat.phase == TargetPhase::Leaving;
+    if (isLeaving && isBroken("leaves")) {
+        incoming->answer(makeJsonAnswer(http::status::ok, "{}"));
+        return;
+    }
     TargetChange change;
     if (message.kind == TargetMessage::Kind::Leave)
         change = noteLeave(state_.target, message.heartbeat.lifetime);
@@ -244,8 +250,6 @@
                 { "slots", state_.target.slots } });
         targetChanged();
     }
-    const bool isLeaving
-        = message.kind == TargetMessage::Kind::Leave || message.heartbeat.phase == TargetPhase::Leaving;
     if (isLeaving)
         onLeave(change, incoming);
     else
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -69,7 +69,7 @@
     held->done = std::move(done);
     held->since = now;
     calls_.emplace(id, held);
-    if (!isServing(target_) && !isBroken("leaves")) {
+    if (!isServing(target_)) {
         refuse(id, target_.phase == TargetPhase::Leaving ? Reason::Leaving : Reason::NoTarget);
         return id;
     }
