--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -173,7 +173,7 @@
                 = relay::steadyNow() > fleet_.members[static_cast<std::size_t>(node)]->disturbedUntil
                 && !worker->isHeldUp();
             if (isCounted)
-                record_.workAfterLeaving(worker->workEnd(id).has_value());
+                record_.workAfterLeaving(id, worker->workEnd(id).has_value());
         });
     });
 }
--- a/soak/record.cc
+++ b/soak/record.cc
@@ -1,6 +1,7 @@
 #include "record.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include <algorithm>
 #include <set>
@@ -67,9 +68,12 @@
     leaves_.emplace(lifetime, at);
 }
 
-void Record::workAfterLeaving(bool hasGoneOn)
+void Record::workAfterLeaving(const std::string& id, bool hasGoneOn)
 {
-    ++(hasGoneOn ? worksGoneOn_ : worksEnded_);
+    if (hasGoneOn)
+        worksGoneOn_.push_back(id);
+    else
+        ++worksEnded_;
 }
 
 void Record::cutByPlannedStop(const std::string& id)
@@ -138,9 +142,11 @@
             break;
         }
     }
-    const int works = worksEnded_ + worksGoneOn_;
-    if (works >= kLeastWorks && worksGoneOn_ > kMostGoneOn * works)
-        broken("callers-that-left", absl::StrCat("went-on=", worksGoneOn_, " of=", works));
+    const auto goneOn = static_cast<int>(worksGoneOn_.size());
+    const int works = worksEnded_ + goneOn;
+    if (works >= kLeastWorks && goneOn > kMostGoneOn * works)
+        broken(
+            "callers-that-left", absl::StrCat("requests=", absl::StrJoin(worksGoneOn_, ","), " of=", works));
 }
 
 } // namespace jackdawwall::soak
--- a/soak/record.h
+++ b/soak/record.h
@@ -62,7 +62,7 @@
     void arrived(const std::string& id, const Arrival& arrival, std::uint64_t bodyHash, bool isHeldUp);
     void acknowledgedLeave(const std::string& lifetime, absl::Time at);
     /// A sound target's work whose caller had left went on (or was ended in time).
-    void workAfterLeaving(bool hasGoneOn);
+    void workAfterLeaving(const std::string& id, bool hasGoneOn);
     /// A planned stop cut off a request that a sound target worked on.
     void cutByPlannedStop(const std::string& id);
 
@@ -97,7 +97,7 @@
     std::size_t whole_ = 0;
     std::size_t refused_ = 0;
     int worksEnded_ = 0;
-    int worksGoneOn_ = 0;
+    std::vector<std::string> worksGoneOn_; ///< Their requests.
     std::vector<std::string> findings_;
 };
 
