--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build test demo bench lint format fault-run clean
+.PHONY: all install build test demo bench lint format fault-run soak breakages fuzz clean
 
 all: build
 
@@ -31,5 +31,21 @@
 fault-run: build
 	support/fault-run.sh $(BUILD)/bin
 
+# Seeds of the fault soak from FIRST on (default: fresh ones); prints each verdict.
+SEEDS ?= 10
+FIRST ?=
+soak: build
+	soak/run.sh $(BUILD)/bin $(SEEDS) $(FIRST)
+
+# The soak must notice each safeguard that a test-only build drops.
+breakages: build
+	cmake -S . -B build-broken -G Ninja -DJACKDAW_PARTS=platform -DJACKDAW_BREAKAGES=ON
+	ninja -C build-broken -j $(JOBS)
+	soak/breakages.sh $(BUILD)/bin build-broken/bin
+
+RUNS ?= 200000
+fuzz: install
+	fuzz/run.sh $(RUNS)
+
 clean:
 	rm -rf $(BUILD)
