--- a/fuzz/decode-fuzz.cc
+++ b/fuzz/decode-fuzz.cc
@@ -93,6 +93,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     constexpr std::uint8_t kDecoders = 6;
