--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -80,7 +80,7 @@
     made.callerDrainTime = settings.leaveDelay;
     made.peerDrainTime = settings.leaveDelay;
     made.stopTime = settings.leaveDelay + settings.drainTimeout;
-    made.callerTime = settings.senderTimeout;
+    made.headerTime = settings.senderTimeout;
     made.names = catalogueHeaders();
     return made;
 }
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -83,7 +83,7 @@
     open(heartbeats_, ports.heartbeats, [this](const IncomingPtr& incoming) { onTargetRequest(incoming); });
     open(operators_, ports.operators, [this](const IncomingPtr& incoming) { onOperatorRequest(incoming); });
     ListenerLimits callerLimits;
-    callerLimits.headerTime = state_.settings.callerTime;
+    callerLimits.headerTime = state_.settings.headerTime;
     callerLimits.sessions = callerSessions();
     callers_.setLimits(callerLimits);
     peers_.setLimits(internalLimits());
