--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -40,7 +40,7 @@
 using RequestHandler = std::function<void(const IncomingPtr&)>;
 
 struct ListenerLimits {
-    std::uint32_t headerBytes = 16U << 10;
+    std::uint32_t headerBytes = 32U << 10;
     std::uint64_t bodyBytes = 64ULL << 20;
     absl::Duration headerTime = absl::Seconds(3);
     absl::Duration idleTime = absl::Seconds(15);
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -234,6 +234,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aHeadOfTwentyKilobytesIsTakenAndOneOfFortyRefused)
+{
+    Pair pair(answerOk);
+    const auto statusFor = [&](std::size_t bytes) {
+        return pair.call(pair.one, { { kKindHeader, "read" }, { "X-Large", std::string(bytes, 'x') } })
+            .response.result_int();
+    };
+    BOOST_TEST(statusFor(20'000) == 200U);
+    BOOST_TEST(statusFor(40'000) == 431U);
+}
+
 BOOST_AUTO_TEST_CASE(aStoppingNodeAnswersNotRunAndTheCallGoesElsewhere)
 {
     Pair pair(answerOk, absl::ZeroDuration());
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -91,6 +91,7 @@
         {
             parser.emplace();
             parser->body_limit(64ULL << 20);
+            parser->header_limit(64U << 10);
             http::async_read(socket, buffer, *parser,
                 [self = shared_from_this()](beast::error_code error, std::size_t) { self->onRead(error); });
         }
