An exchange with a time limit is written once

Change: UpstreamPool::sendWithin; the result says that it was broken off. Errors and their texts stay as they were. Ruled out: a timer in each connection, which would cost the calls that have a limit of their own already.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -68,19 +68,7 @@
     relay::ExchangePlan plan;
     plan.bytes = relay::toBytes(request);
     plan.connectTime = absl::Milliseconds(500);
-    auto timer = std::make_shared<relay::asio::steady_timer>(loop_, absl::ToChronoMicroseconds(longest));
-    auto connection
-        = pool_.send(relay::parseEndpoint(address), std::move(plan), [timer, done](ExchangeResult result) {
-              timer->cancel();
-              done(std::move(result));
-          });
-    timer->async_wait([connection, done](relay::beast::error_code error) {
-        if (error)
-            return;
-        connection->cancel();
-        done({});
-    });
-    return connection;
+    return pool_.sendWithin(relay::parseEndpoint(address), std::move(plan), longest, done);
 }
 
 void Callers::readyLoop()
--- a/src/node/object-api.cc
+++ b/src/node/object-api.cc
@@ -38,6 +38,8 @@
 {
     if (result.end == relay::ExchangeEnd::NotSent)
         return absl::UnavailableError("the platform can't be reached");
+    if (result.isTimedOut)
+        return absl::DataLossError("the platform did not answer in time");
     if (result.end != relay::ExchangeEnd::Complete)
         return absl::DataLossError("the platform's answer was lost");
     if (relay::http::to_status_class(result.response.result()) != relay::http::status_class::successful)
@@ -101,29 +103,17 @@
         relay::ExchangePlan plan;
         plan.bytes = relay::toBytes(request);
         plan.connectTime = kConnectTime;
-        auto timer = std::make_shared<relay::asio::steady_timer>(loop_, absl::ToChronoMicroseconds(longest));
-        auto pending = std::make_shared<Reply>(std::move(reply));
-        const auto connection = pool_.send(relay::parseEndpoint(options_.addresses[attempt]), std::move(plan),
-            [self = shared_from_this(), method, target, body, longest, timer, pending, attempt](
+        pool_.sendWithin(relay::parseEndpoint(options_.addresses[attempt]), std::move(plan), longest,
+            [self = shared_from_this(), method, target, body, longest, reply = std::move(reply), attempt](
                 relay::ExchangeResult result) {
-                timer->cancel();
-                if (!*pending)
-                    return;
-                Reply held = std::exchange(*pending, nullptr);
                 absl::StatusOr<relay::Response> answer = answerOf(std::move(result));
                 const bool isNextTried
                     = absl::IsUnavailable(answer.status()) && attempt + 1 < self->options_.addresses.size();
                 if (isNextTried)
-                    self->call(method, target, body, longest, std::move(held), attempt + 1);
+                    self->call(method, target, body, longest, reply, attempt + 1);
                 else
-                    held(std::move(answer));
+                    reply(std::move(answer));
             });
-        timer->async_wait([connection, pending](relay::beast::error_code error) {
-            if (error || !*pending)
-                return;
-            connection->cancel();
-            std::exchange(*pending, nullptr)(absl::DataLossError("the platform did not answer in time"));
-        });
     }
 
     absl::Duration timeout() const { return options_.timeout; }
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -13,7 +13,7 @@
 /// Members told in one message.
 constexpr std::size_t kNewsLimit = 200;
 constexpr absl::Duration kConnectTime = absl::Milliseconds(500);
-constexpr auto kReplyTime = std::chrono::milliseconds(1500);
+constexpr absl::Duration kReplyTime = absl::Milliseconds(1500);
 
 } // namespace
 
@@ -72,18 +72,8 @@
     plan.bytes = toBytes(request);
     state_.metrics.countControlBytes(plan.bytes.size());
     plan.connectTime = kConnectTime;
-    auto timer = std::make_shared<asio::steady_timer>(state_.loop, kReplyTime);
-    const auto connection = state_.pool.send(
-        parseEndpoint(address), std::move(plan), [this, address, upTo, timer](const ExchangeResult& result) {
-            timer->cancel();
-            onReply(address, upTo, result);
-        });
-    timer->async_wait([this, address, upTo, connection](beast::error_code error) {
-        if (error)
-            return;
-        connection->cancel();
-        onReply(address, upTo, {});
-    });
+    state_.pool.sendWithin(parseEndpoint(address), std::move(plan), kReplyTime,
+        [this, address, upTo](const ExchangeResult& result) { onReply(address, upTo, result); });
 }
 
 void PeerLink::onReply(const std::string& address, std::uint64_t upTo, const ExchangeResult& result)
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -179,7 +179,7 @@
     const auto self = shared_from_this();
     timer_.cancel();
     const ExchangeDone done = std::exchange(done_, nullptr);
-    ExchangeResult result { end, std::move(answer_) };
+    ExchangeResult result { end, std::move(answer_), false };
     answer_ = {};
     parser_.reset();
     plan_ = {};
@@ -244,6 +244,31 @@
     return chosen;
 }
 
+std::shared_ptr<Upstream> UpstreamPool::sendWithin(
+    const Tcp::endpoint& endpoint, ExchangePlan plan, absl::Duration longest, ExchangeDone done)
+{
+    struct Pending {
+        asio::steady_timer timer;
+        ExchangeDone done; ///< Null once called.
+    };
+    const auto pending = std::make_shared<Pending>(
+        Pending { asio::steady_timer(loop_, absl::ToChronoMicroseconds(longest)), std::move(done) });
+    auto connection = send(endpoint, std::move(plan), [pending](ExchangeResult result) {
+        pending->timer.cancel();
+        if (pending->done)
+            std::exchange(pending->done, nullptr)(std::move(result));
+    });
+    pending->timer.async_wait([pending, connection](beast::error_code error) {
+        if (error || !pending->done)
+            return;
+        connection->cancel();
+        ExchangeResult late;
+        late.isTimedOut = true;
+        std::exchange(pending->done, nullptr)(std::move(late));
+    });
+    return connection;
+}
+
 void UpstreamPool::forget(const Tcp::endpoint& endpoint)
 {
     const auto found = idle_.find(endpoint);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -26,6 +26,7 @@
 struct ExchangeResult {
     ExchangeEnd end = ExchangeEnd::Lost;
     Response response;
+    bool isTimedOut = false; ///< It was broken off at its time limit.
 };
 
 struct ExchangePlan {
@@ -100,6 +101,10 @@
     /// Sends a request on a kept connection, or on a new one. `done` is called from the loop, never from
     /// here.
     std::shared_ptr<Upstream> send(const Tcp::endpoint& endpoint, ExchangePlan plan, ExchangeDone done);
+    /// The same, broken off after `longest`; `done` is called once, unless the connection is cancelled and
+    /// its time has not run out.
+    std::shared_ptr<Upstream> sendWithin(
+        const Tcp::endpoint& endpoint, ExchangePlan plan, absl::Duration longest, ExchangeDone done);
     /// Connections opened so far.
     std::uint64_t opened() const { return opened_; }
     /// Closes the kept connections to an endpoint.
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -423,3 +423,26 @@
     one.node.node->reload(fresh);
     BOOST_TEST(send("r2").response.result_int() == 200U);
 }
+
+BOOST_AUTO_TEST_CASE(anExchangeIsBrokenOffAtItsTimeLimitAndReportedOnce)
+{
+    asio::io_context loop;
+    ScriptedTarget silent(loop, [](const Request&) { return std::optional<TargetReply>(); });
+    ScriptedTarget prompt(loop, answerOk);
+    UpstreamPool pool(loop);
+    std::vector<ExchangeResult> results;
+    const auto send = [&](const ScriptedTarget& target, absl::Duration longest) {
+        ExchangePlan plan;
+        plan.bytes = toBytes(callerRequest(http::verb::get, "/", "r1"));
+        pool.sendWithin(parseEndpoint(target.address()), std::move(plan), longest,
+            [&](ExchangeResult result) { results.push_back(std::move(result)); });
+    };
+    send(silent, absl::Milliseconds(50));
+    runUntil(loop, [&] { return silent.closedByPeer == 1; });
+    send(prompt, absl::Seconds(20));
+    runUntil(loop, [&] { return results.size() == 2; });
+    BOOST_TEST(results[0].isTimedOut);
+    BOOST_TEST((results[0].end == ExchangeEnd::Lost));
+    BOOST_TEST(!results[1].isTimedOut);
+    BOOST_TEST((results[1].end == ExchangeEnd::Complete));
+}
