Offers to the own target are counted again

Cause: jackdaw_offers_total stands in docs/OPERATIONS.md and was counted by the older target side only; since the one node nobody called Metrics::countOffer.

--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -48,7 +48,7 @@
     , heldBodies(heldBodiesLimit(settings))
     , pool(ioLoop)
     , decisions(decisionsFor(settings))
-    , gate(decisions, pool, requestLog, gateOptions(settings))
+    , gate(decisions, pool, requestLog, metrics, gateOptions(settings))
 {
 }
 
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -51,10 +51,12 @@
     return GateEnd::Unknown;
 }
 
-TargetGate::TargetGate(NodeDecisions& decisions, UpstreamPool& pool, RequestLog& log, GateOptions options)
+TargetGate::TargetGate(
+    NodeDecisions& decisions, UpstreamPool& pool, RequestLog& log, Metrics& metrics, GateOptions options)
     : decisions_(decisions)
     , pool_(pool)
     , log_(log)
+    , metrics_(metrics)
     , options_(std::move(options))
     , endpoint_(parseEndpoint(options_.targetAddress))
 {
@@ -92,11 +94,13 @@
     const std::shared_ptr<Held> held = calls_.at(id);
     const CallContext& context = held->call.context;
     if (now + kLeastTime > context.deadline) {
+        countOffer(*held, Outcome::NotRun, Reason::Deadline);
         finish(id, { GateEnd::Refused, Reason::Deadline, {}, {} }, RunEnd::Lost);
         return;
     }
     if (options_.budget && held->call.arrivals > 0
         && !takeRepeat(budget_, *options_.budget, targetCount_, now)) {
+        countOffer(*held, Outcome::NotRun, Reason::RetryLimit);
         finish(id, { GateEnd::Refused, Reason::RetryLimit, {}, {} }, RunEnd::Lost);
         return;
     }
@@ -104,6 +108,7 @@
         noteFirstArrival(budget_, *options_.budget, now);
     if (!options_.names.parent.empty())
         held->token = openInbound(decisions_, context);
+    countOffer(*held, Outcome::Ok, Reason::None);
     ExchangePlan plan;
     plan.bytes = requestHead(*held, now);
     plan.body = { held->call.request, &held->call.request->body() };
@@ -220,6 +225,7 @@
         return;
     const std::shared_ptr<Held> held = found->second;
     calls_.erase(found);
+    countOffer(*held, Outcome::NotRun, reason);
     log_.note("target-refused", held->call.context.requestId, reason == Reason::Leaving,
         { { "request", held->call.context.requestId }, { "route", held->call.context.kind },
             { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
@@ -228,6 +234,12 @@
     held->done({ GateEnd::Refused, reason, {}, feedback(*held) });
 }
 
+/// Counts what became of an offer at the gate; what the target makes of it is the caller's to count.
+void TargetGate::countOffer(const Held& held, Outcome outcome, Reason reason)
+{
+    metrics_.countOffer({ held.call.context.priority, outcome, reason });
+}
+
 void TargetGate::apply(const Release& release)
 {
     for (const RefusedCall& refused : release.refused)
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -2,6 +2,7 @@
 /// What is refused here has not run.
 #pragma once
 
+#include "adapter/metrics.h"
 #include "jackdawwall/arrival-budget.h"
 #include "jackdawwall/call-flow.h"
 #include "jackdawwall/target-lifetime.h"
@@ -61,7 +62,8 @@
 class TargetGate {
 public:
     /// Admission and inbound calls are parts of `decisions`.
-    TargetGate(NodeDecisions& decisions, UpstreamPool& pool, RequestLog& log, GateOptions options);
+    TargetGate(
+        NodeDecisions& decisions, UpstreamPool& pool, RequestLog& log, Metrics& metrics, GateOptions options);
 
     /// `done` may be called before this returns. The id cancels the call.
     CallId offer(GateCall call, GateDone done);
@@ -91,6 +93,7 @@
     GateResult judge(const Held& held, ExchangeResult& result) const;
     void finish(CallId id, GateResult result, RunEnd end);
     void refuse(CallId id, Reason reason);
+    void countOffer(const Held& held, Outcome outcome, Reason reason);
     void apply(const Release& release);
     std::string requestHead(const Held& held, absl::Time now) const;
     CallFeedback feedback(const Held& held);
@@ -99,6 +102,7 @@
     NodeDecisions& decisions_;
     UpstreamPool& pool_;
     RequestLog& log_;
+    Metrics& metrics_;
     GateOptions options_;
     Tcp::endpoint endpoint_;
     TargetState target_;
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -159,6 +159,8 @@
               .response.body();
     BOOST_TEST(text.find("outcome=\"ok\",reason=\"none\"} 1") != std::string::npos);
     BOOST_TEST(text.find("outcome=\"not-run\"") != std::string::npos);
+    BOOST_TEST(text.find("jackdaw_offers_total{class=\"browse\",outcome=\"ok\",reason=\"none\"} 1")
+        != std::string::npos);
     BOOST_TEST(text.find("jackdaw_configuration_version 5") != std::string::npos);
 }
 
