The platform's name leaves the fuzzer; a field of the soak that nobody read goes

Cause: fuzz/decode-fuzz.cc spelled the query of the targets' heartbeats, which platform/wire-names.h names; Sending.node was set and never read. Change: the constant is used; the field is gone.

--- a/fuzz/decode-fuzz.cc
+++ b/fuzz/decode-fuzz.cc
@@ -5,9 +5,12 @@
 #include "node/catalogue-interface.h"
 #include "relay/hop-wire.h"
 #include "relay/peer-message.h"
+#include "wire-names.h"
 
 #include "jackdawwall/membership.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <cstddef>
 #include <cstdint>
 
@@ -33,7 +36,8 @@
 
 void useTargetMessage(const std::string& text)
 {
-    relay::Request request { relay::http::verb::post, "/x?call=instances.heartbeat&of=t1", 11 };
+    relay::Request request { relay::http::verb::post, absl::StrCat("/x?", platform::kHeartbeatQuery, "t1"),
+        11 };
     request.body() = text;
     const relay::TargetMessage message = platform::decodeTargetMessage(request);
     TargetState state;
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -122,8 +122,7 @@
     const relay::HeaderNames names = platform::headerNames();
     request.set(names.requestId, id);
     request.set(names.timeLeft, absl::StrCat(kDeadlineMs));
-    record_.sent(
-        id, { kind.service, kind.isRepeatable, node, relay::steadyNow(), stableHash(request.body()) });
+    record_.sent(id, { kind.service, kind.isRepeatable, relay::steadyNow(), stableHash(request.body()) });
     const auto connection = ask(fleet_.members[static_cast<std::size_t>(node)]->callerAddress,
         std::move(request), absl::Milliseconds(kDeadlineMs) + kGrace,
         [this, id, node](const ExchangeResult& result) { onEnd(id, node, result); });
@@ -204,7 +203,7 @@
     const relay::HeaderNames names = platform::headerNames();
     request.set(names.requestId, id);
     request.set(names.timeLeft, absl::StrCat(kDeadlineMs));
-    record_.sent(id, { "photos", true, 0, sentAt, stableHash("") });
+    record_.sent(id, { "photos", true, sentAt, stableHash("") });
     const std::string process = absl::StrCat(member.name, "#", member.processNumber);
     ask(member.callerAddress, std::move(request), kProbeTime,
         [this, &member, version, sentAt, process](const ExchangeResult& result) {
--- a/soak/record.h
+++ b/soak/record.h
@@ -28,7 +28,6 @@
 struct Sending {
     std::string service;
     bool isRepeatable = false;
-    int node = 0;
     absl::Time sentAt;
     std::uint64_t bodyHash = 0;
 };
