A few nodes watch the configuration for all, and listings may be stale

A node that the store turns away twice says so in its member record and the next in order takes over; a node that no neighbour answers for a second watches itself; a node that gets no configuration from others within half a second reads it. Nodes are listed by stale reads, repeated until a listing is as recent as the own registration, so of two nodes the later one knows the earlier.

--- a/include/jackdawwall/membership.h
+++ b/include/jackdawwall/membership.h
@@ -38,6 +38,7 @@
     std::string dataCentre;
     std::string operatorAddress;
     bool isServing = true; ///< Its target accepts new work.
+    bool canReachStore = true; ///< False once its calls to the platform's store have failed repeatedly.
     std::string leftTarget; ///< Id of the newest lifetime of its target that has left.
     std::uint64_t leftStartedAt = 0; ///< Start of that lifetime, Unix milliseconds.
 
@@ -72,6 +73,7 @@
     absl::btree_map<std::string, MemberRecord> members;
     absl::btree_map<std::string, NeighbourState> neighbours;
     std::uint64_t lastChange = 0;
+    absl::Time lastContactAt; ///< Latest response of a neighbour, or the start of this node.
     std::uint64_t digest = 0; ///< Sum of the hashes of all records, updated with each change.
 };
 
@@ -90,6 +92,7 @@
 struct LocalRecord {
     MemberStatus status = MemberStatus::Alive;
     bool isServing = false; ///< The local target accepts new work.
+    bool canReachStore = true;
     std::optional<Lifetime> lastLeft; ///< Newest lifetime of the local target that has left.
     std::uint64_t minimumIncarnation = 0;
 };
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -146,6 +146,7 @@
     MembershipState state;
     state.options = options;
     state.self = self.peerAddress;
+    state.lastContactAt = now;
     storeChange(state, self, now);
     return state;
 }
@@ -176,6 +177,7 @@
     const Member before = self;
     self.status = record.status;
     self.isServing = record.isServing;
+    self.canReachStore = record.canReachStore;
     if (record.lastLeft) {
         self.leftTarget = record.lastLeft->id;
         self.leftStartedAt = record.lastLeft->startedAt;
@@ -230,6 +232,7 @@
     NeighbourState& neighbourState = state.neighbours[neighbour];
     neighbourState.acknowledged = std::max(neighbourState.acknowledged, upTo);
     neighbourState.missedHeartbeats = 0;
+    state.lastContactAt = now;
     const auto record = state.members.find(neighbour);
     if (record == state.members.end() || record->second.member.status != MemberStatus::Suspect)
         return;
--- a/src/node/object-platform.cc
+++ b/src/node/object-platform.cc
@@ -103,12 +103,13 @@
     port.configurationKind = kCatalogueKey;
     port.configurationName = kCatalogueKey;
     port.nodeKind = kSeedPrefix;
-    port.store.list = [objects](const relay::StoreKind& kind, const ListingDone& done) {
-        if (kind == kCatalogueKey)
-            listCatalogue(objects, done);
-        else
-            listSeeds(objects, done);
-    };
+    port.store.list
+        = [objects](const relay::StoreKind& kind, relay::ReadConsistency, const ListingDone& done) {
+              if (kind == kCatalogueKey)
+                  listCatalogue(objects, done);
+              else
+                  listSeeds(objects, done);
+          };
     port.store.put
         = [objects, dataCentre](const relay::StoreKind&, const StoredItem& item, const ItemDone& done) {
               const std::uint64_t slot = mixBits(stableHash(item.name)) % kSeedSlots;
--- a/src/relay/peer-message.cc
+++ b/src/relay/peer-message.cc
@@ -17,6 +17,8 @@
     value["service"] = member.service;
     value["dataCentre"] = member.dataCentre;
     value["isServing"] = member.isServing;
+    if (!member.canReachStore)
+        value["canReachStore"] = false;
     if (!member.operatorAddress.empty())
         value["operator"] = member.operatorAddress;
     if (!member.leftTarget.empty()) {
@@ -40,6 +42,7 @@
     member.service = value["service"].asString();
     member.dataCentre = value["dataCentre"].asString();
     member.isServing = value["isServing"].asBool();
+    member.canReachStore = value.get("canReachStore", true).asBool();
     member.operatorAddress = value.get("operator", "").asString();
     member.leftTarget = value.get("leftTarget", "").asString();
     member.leftStartedAt = value.get("leftStartedAt", 0).asUInt64();
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -33,9 +33,16 @@
 /// Kind of objects in the store.
 using StoreKind = std::string;
 
+/// How recent the response to a read must be.
+enum class ReadConsistency : std::uint8_t {
+    Latest,
+    Stale, ///< May be seconds old, which costs the store less.
+};
+
 struct ObjectStorePort {
     /// All objects of a kind.
-    std::function<void(const StoreKind&, std::function<void(absl::StatusOr<StoreListing>)>)> list;
+    std::function<void(const StoreKind&, ReadConsistency, std::function<void(absl::StatusOr<StoreListing>)>)>
+        list;
     /// Creates or replaces an object. Returns its new revision, and its previous content if it existed.
     std::function<void(const StoreKind&, const StoredItem&, std::function<void(absl::StatusOr<StoredItem>)>)>
         put;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -70,7 +70,11 @@
           { [this](const std::string& document) { onConfiguration(document); },
               [this](const std::vector<Member>& members) { peerLink_.addMembers(members); },
               [this](const std::optional<Lifetime>& left) { onPreviousLeave(left); },
-              [this](StoreRevision revision) { onRegistered(revision); } })
+              [this](StoreRevision revision) { onRegistered(revision); },
+              [this] {
+                  updateLocalMember(0);
+                  peerLink_.announce();
+              } })
     , callerListener_(
           loop, std::move(ports.callers),
           [this](const IncomingRequestPtr& incoming) { onCallerRequest(incoming); }, &state_.bufferedBodies)
@@ -288,6 +292,7 @@
     LocalRecord record;
     record.status = state_.isStopping ? MemberStatus::Leaving : MemberStatus::Alive;
     record.isServing = isServing(state_.target) && !state_.isStopping;
+    record.canReachStore = state_.canReachStore;
     record.lastLeft = state_.target.lastLeft;
     record.minimumIncarnation = minimumIncarnation;
     setLocalRecord(state_.decisions.membership, record, steadyNow());
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -1,6 +1,7 @@
 /// A node on one event loop: its listeners, gossip, store synchronization, and planned stop.
 #pragma once
 
+#include "jackdawwall/watcher-selection.h"
 #include "relay/caller-gate.h"
 #include "relay/peer-link.h"
 #include "relay/platform-port.h"
@@ -22,8 +23,10 @@
     const Member& self() const { return localMember(state_); }
     /// Number of nodes known to accept new work, including this one.
     std::size_t servingMemberCount() const;
+    /// Number of known members, including this one.
+    std::size_t memberCount() const { return state_.decisions.membership.members.size(); }
     /// See rankAmongMembers.
-    std::size_t rank() const { return rankAmongMembers(state_); }
+    std::size_t rank() const { return rankAmongMembers(state_.decisions.membership); }
     /// See applySettings.
     void reload(const RelaySettings& newSettings);
     /// Adds a peer before any message from it has arrived.
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -31,7 +31,7 @@
     std::vector<std::string> seedAddresses; ///< Initial peers, for a start without the platform.
     std::size_t memoryBytes = 256U << 20; ///< Memory limit of the process.
     std::size_t descriptors = 4096; ///< File descriptors available to connections.
-    /// Number of nodes that watch the store for configuration changes, see rankAmongMembers; the others
+    /// Number of nodes that watch the store for configuration changes, see watcher-selection.h; the others
     /// receive them by gossip. 0: all nodes watch.
     std::size_t watchers = 0;
     absl::Duration gossipInterval = absl::Milliseconds(500); ///< Between two gossip rounds.
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -71,18 +71,6 @@
     state.gate.setTargetCount(routableMembers(state.decisions.membership, state.settings.service).size());
 }
 
-std::size_t rankAmongMembers(const RelayState& state)
-{
-    const MembershipState& membership = state.decisions.membership;
-    const std::uint64_t ownHash = mixBits(stableHash(membership.self));
-    std::size_t rank = 0;
-    for (const auto& [address, record] : membership.members) {
-        if (record.member.status == MemberStatus::Alive && mixBits(stableHash(address)) < ownHash)
-            ++rank;
-    }
-    return rank;
-}
-
 const Member& localMember(const RelayState& state)
 {
     return state.decisions.membership.members.at(state.decisions.membership.self).member;
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -42,6 +42,7 @@
     SplitState split;
     Configuration configuration;
     TargetState target;
+    bool canReachStore = true; ///< False after repeated failures of calls to the store.
     bool isStopping = false;
     /// When the event loop ends even if requests are pending.
     absl::Time stopDeadline = absl::InfiniteFuture();
@@ -53,10 +54,6 @@
 /// Invalidates state derived from the membership.
 void membersChanged(RelayState& state);
 
-/// Number of alive members with a smaller hash than this one. All nodes use the same order, so it selects the
-/// few nodes that do work on behalf of all.
-std::size_t rankAmongMembers(const RelayState& state);
-
 /// This node's current record in the membership.
 const Member& localMember(const RelayState& state);
 
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -2,6 +2,7 @@
 
 #include "adapter/json-reader.h"
 #include "adapter/log.h"
+#include "jackdawwall/watcher-selection.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -13,7 +14,15 @@
 /// Maximum duration of one watch. Limits how long a silently broken connection stays undetected.
 constexpr absl::Duration kMaxWatchTime = absl::Seconds(10);
 /// How often a node that does not watch checks whether it has become one of the watchers.
-constexpr absl::Duration kWatcherCheckInterval = absl::Seconds(1);
+constexpr absl::Duration kWatcherCheckInterval = absl::Milliseconds(250);
+/// How long a starting node waits for its registration before it reads the configuration.
+constexpr absl::Duration kRegistrationTime = absl::Seconds(1);
+/// How long a node without a configuration waits for other nodes to send one.
+constexpr absl::Duration kPeerConfigurationTime = absl::Milliseconds(500);
+constexpr absl::Duration kStaleReadInterval = absl::Milliseconds(500);
+constexpr int kMaxStaleReads = 6;
+/// Consecutive failures after which this node reports that it can't reach the store.
+constexpr int kFailuresToReport = 2;
 constexpr absl::Duration kInitialRetryDelay = absl::Milliseconds(200);
 constexpr absl::Duration kMaxRetryDelay = absl::Seconds(1);
 constexpr int kMaxDoublings = 6;
@@ -66,21 +75,44 @@
 void StoreSync::start()
 {
     registerNode();
-    listConfiguration();
+    if (state_.settings.watchers == 0)
+        startFollowing();
+    else
+        runAfter(kRegistrationTime, [this] { startFollowing(); });
 }
 
-void StoreSync::retryLater(int& failures, const absl::Status& status, std::function<void()> attempt)
+void StoreSync::runAfter(absl::Duration delay, std::function<void()> step)
+{
+    auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(delay));
+    timer->async_wait([timer, step = std::move(step)](beast::error_code error) {
+        if (!error)
+            step();
+    });
+}
+
+void StoreSync::recordFailure(const absl::Status& status)
 {
-    if (!std::exchange(isStoreUnavailable_, true))
+    if (storeFailures_++ == 0)
         logEvent(LogLevel::Warning, "store-lost", { { "error", status.ToString() } });
+    if (storeFailures_ == kFailuresToReport && std::exchange(state_.canReachStore, false))
+        events_.onReachabilityChanged();
+}
+
+void StoreSync::recordSuccess(StoreRevision revision)
+{
+    if (std::exchange(storeFailures_, 0) > 0)
+        logEvent(LogLevel::Info, "store-regained", { { "revision", revision } });
+    if (!std::exchange(state_.canReachStore, true))
+        events_.onReachabilityChanged();
+}
+
+void StoreSync::retryLater(int& failures, const absl::Status& status, std::function<void()> attempt)
+{
+    recordFailure(status);
     const absl::Duration delay = std::min(
         kMaxRetryDelay, kInitialRetryDelay * static_cast<double>(1 << std::min(failures, kMaxDoublings)));
     ++failures;
-    auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(delay));
-    timer->async_wait([timer, attempt = std::move(attempt)](beast::error_code error) {
-        if (!error)
-            attempt();
-    });
+    runAfter(delay, std::move(attempt));
 }
 
 std::string StoreSync::encodeNodeRecord() const
@@ -114,6 +146,8 @@
             return;
         }
         nodeFailures_ = 0;
+        recordSuccess(stored->revision);
+        registeredRevision_ = stored->revision;
         std::vector<Finding> findings;
         const auto previous = parseJson({ stored->name, stored->content, &findings });
         events_.onPreviousLeave(
@@ -123,76 +157,99 @@
         if (const auto replaced = decodeMember({ stored->name, 0, stored->content, false });
             replaced && replaced->peerAddress != state_.decisions.membership.self)
             events_.onMembers({ *replaced });
-        listNodes();
+        listNodes(0);
     });
 }
 
-void StoreSync::listNodes()
+void StoreSync::listNodes(int staleReads)
 {
-    port_.store.list(port_.nodeKind, [this](const absl::StatusOr<StoreListing>& listing) {
-        if (!listing.ok()) {
-            retryLater(nodeFailures_, listing.status(), [this] { listNodes(); });
-            return;
-        }
-        nodeFailures_ = 0;
-        std::vector<Member> members;
-        for (const StoredItem& item : listing->items) {
-            const auto member = decodeMember(item);
-            if (member && member->peerAddress != state_.decisions.membership.self)
-                members.push_back(*member);
-        }
-        events_.onMembers(members);
-    });
+    const bool mayBeStale = staleReads < kMaxStaleReads;
+    port_.store.list(port_.nodeKind, mayBeStale ? ReadConsistency::Stale : ReadConsistency::Latest,
+        [this, staleReads](const absl::StatusOr<StoreListing>& listing) {
+            if (!listing.ok()) {
+                retryLater(nodeFailures_, listing.status(), [this, staleReads] { listNodes(staleReads); });
+                return;
+            }
+            nodeFailures_ = 0;
+            recordSuccess(listing->revision);
+            onNodes(*listing, staleReads);
+        });
 }
 
-void StoreSync::recordLeave(const std::function<void()>& onStored)
+void StoreSync::onNodes(const StoreListing& listing, int staleReads)
 {
-    putNodeRecord([this, onStored](const absl::StatusOr<StoredItem>& result) {
-        if (result.ok())
-            onStored();
-        else
-            retryLater(nodeFailures_, result.status(), [this, onStored] { recordLeave(onStored); });
-    });
+    std::vector<Member> members;
+    for (const StoredItem& item : listing.items) {
+        const auto member = decodeMember(item);
+        if (member && member->peerAddress != state_.decisions.membership.self)
+            members.push_back(*member);
+    }
+    events_.onMembers(members);
+    startFollowing();
+    if (listing.revision < registeredRevision_ && staleReads < kMaxStaleReads)
+        runAfter(kStaleReadInterval, [this, staleReads] { listNodes(staleReads + 1); });
 }
 
-void StoreSync::listConfiguration()
+void StoreSync::recordLeave(const std::function<void()>& onStored)
 {
-    port_.store.list(port_.configurationKind, [this](const absl::StatusOr<StoreListing>& listing) {
-        if (!listing.ok()) {
-            retryLater(configurationFailures_, listing.status(), [this] { listConfiguration(); });
+    putNodeRecord([this, onStored](const absl::StatusOr<StoredItem>& result) {
+        if (!result.ok()) {
+            retryLater(nodeFailures_, result.status(), [this, onStored] { recordLeave(onStored); });
             return;
         }
-        onListing(listing);
-        followConfiguration(listing->revision);
+        nodeFailures_ = 0;
+        recordSuccess(result->revision);
+        onStored();
     });
 }
 
 bool StoreSync::isWatcher() const
 {
-    return state_.settings.watchers == 0 || rankAmongMembers(state_) < state_.settings.watchers;
+    return jackdawwall::isWatcher(state_.decisions.membership, { state_.settings.watchers }, steadyNow());
 }
 
-void StoreSync::followConfiguration(StoreRevision after)
+void StoreSync::startFollowing()
 {
-    if (isWatcher()) {
-        watchConfiguration(after);
+    if (std::exchange(isFollowing_, true))
         return;
-    }
-    auto timer = std::make_shared<asio::steady_timer>(
-        state_.loop, absl::ToChronoMicroseconds(kWatcherCheckInterval));
-    timer->async_wait([this, timer, after](beast::error_code error) {
-        if (!error)
-            followConfiguration(after);
-    });
+    nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
+    followConfiguration();
+}
+
+void StoreSync::followConfiguration()
+{
+    const bool needsFallback = state_.configuration.version == 0 && steadyNow() >= nextFallbackRead_;
+    if (isWatcher() || needsFallback)
+        listConfiguration();
+    else
+        runAfter(kWatcherCheckInterval, [this] { followConfiguration(); });
+}
+
+void StoreSync::listConfiguration()
+{
+    port_.store.list(port_.configurationKind, ReadConsistency::Latest,
+        [this](const absl::StatusOr<StoreListing>& listing) {
+            nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
+            if (!listing.ok()) {
+                retryLater(configurationFailures_, listing.status(), [this] { followConfiguration(); });
+                return;
+            }
+            onListing(*listing);
+            watchConfiguration(listing->revision);
+        });
 }
 
 void StoreSync::watchConfiguration(StoreRevision after)
 {
+    if (!isWatcher()) {
+        followConfiguration();
+        return;
+    }
     port_.store.watch(port_.configurationKind, after, kMaxWatchTime,
         [this, after](const absl::StatusOr<StoreListing>& listing) {
             if (listing.ok()) {
-                onListing(listing);
-                followConfiguration(std::max(after, listing->revision));
+                onListing(*listing);
+                watchConfiguration(std::max(after, listing->revision));
                 return;
             }
             if (absl::IsOutOfRange(listing.status()))
@@ -203,12 +260,11 @@
         });
 }
 
-void StoreSync::onListing(const absl::StatusOr<StoreListing>& listing)
+void StoreSync::onListing(const StoreListing& listing)
 {
     configurationFailures_ = 0;
-    if (std::exchange(isStoreUnavailable_, false))
-        logEvent(LogLevel::Info, "store-regained", { { "revision", listing->revision } });
-    for (const StoredItem& item : listing->items) {
+    recordSuccess(listing.revision);
+    for (const StoredItem& item : listing.items) {
         if (item.name == port_.configurationName && !item.isDeleted)
             events_.onConfiguration(item.content);
     }
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -18,6 +18,8 @@
     std::function<void(const std::optional<Lifetime>& left)> onPreviousLeave;
     /// The revision under which this node is registered now.
     std::function<void(StoreRevision revision)> onRegistered;
+    /// RelayState::canReachStore changed.
+    std::function<void()> onReachabilityChanged;
 };
 
 class StoreSync {
@@ -30,16 +32,24 @@
 
 private:
     void registerNode();
-    void listNodes();
+    /// Lists the nodes with stale reads until one is as recent as this node's registration. Of two nodes, the
+    /// one that registers later then knows the other.
+    void listNodes(int staleReads);
+    void onNodes(const StoreListing& listing, int staleReads);
+    /// Starts to follow the configuration; does nothing after the first call.
+    void startFollowing();
+    /// Reads and watches the configuration if this node is one of the watchers (see RelaySettings::watchers),
+    /// else checks again later. A node that gets no configuration from others reads it as well.
+    void followConfiguration();
     void listConfiguration();
-    /// Watches the configuration if this node is one of the watchers (see RelaySettings::watchers), else
-    /// checks again later.
-    void followConfiguration(StoreRevision after);
     void watchConfiguration(StoreRevision after);
-    void onListing(const absl::StatusOr<StoreListing>& listing);
+    void onListing(const StoreListing& listing);
     void putNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done);
     /// Runs `attempt` after a delay that grows with each consecutive failure.
     void retryLater(int& failures, const absl::Status& status, std::function<void()> attempt);
+    void runAfter(absl::Duration delay, std::function<void()> step);
+    void recordSuccess(StoreRevision revision);
+    void recordFailure(const absl::Status& status);
     std::string encodeNodeRecord() const;
     bool isWatcher() const;
 
@@ -47,9 +57,13 @@
     const PlatformPort& port_;
     StoreSyncEvents events_;
     std::string runId_;
-    int nodeFailures_ = 0;
+    StoreRevision registeredRevision_ = 0;
+    int nodeFailures_ = 0; ///< Consecutive, as the two counters below.
     int configurationFailures_ = 0;
-    bool isStoreUnavailable_ = false;
+    int storeFailures_ = 0; ///< Of all calls to the store.
+    bool isFollowing_ = false;
+    /// When a node without a configuration reads it from the store, even if it is no watcher.
+    absl::Time nextFallbackRead_ = absl::InfinitePast();
 };
 
 } // namespace jackdawwall::relay
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -166,14 +166,22 @@
 
     bool isUnavailable = false;
     int puts = 0;
+    std::map<StoreKind, int> reads; ///< Listings by kind.
 
     StoreRevision revision() const { return revision_; }
+    /// Number of watches of a kind that wait for a change.
+    std::size_t watching(const StoreKind& kind) const
+    {
+        const auto found = watchers_.find(kind);
+        return found == watchers_.end() ? 0 : found->second.size();
+    }
 
     ObjectStorePort port()
     {
         ObjectStorePort result;
-        result.list = [this](const StoreKind& kind, auto done) {
+        result.list = [this](const StoreKind& kind, ReadConsistency, auto done) {
             post([this, kind, done] {
+                ++reads[kind];
                 done(isUnavailable ? absl::StatusOr<StoreListing>(unavailableError()) : listing(kind));
             });
         };
@@ -255,6 +263,7 @@
         fields >> route.name >> route.host >> route.prefix >> service.service >> kind >> timeoutMs
             >> route.attempts;
         route.isIdempotent = kind == "safe";
+        route.priority = route.isIdempotent ? Priority::Browse : Priority::Critical;
         route.timeout = absl::Milliseconds(timeoutMs);
         route.services = { service };
         addRoute(table, route);
