Runs that fail for want of a deep service are limited, and nested calls keep the class of their request

Change: downstream-limit.h (pure) bounds the concurrent runs of the kinds that fail while nested calls of the local target are refused by gates; additive increase, multiplicative decrease, gone when no call is refused any more; the queue of the gate then chooses by class. parent-run.h (pure) gives each run a time limit of its own, up to 100 ms shorter, and so tells to which run a nested call belongs that expires with it; it takes that run's class.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -5,6 +5,7 @@
 
 #include "jackdawwall/concurrency-limit.h"
 #include "jackdawwall/core.h"
+#include "jackdawwall/downstream-limit.h"
 #include "jackdawwall/fair-share.h"
 
 #include "absl/container/btree_set.h"
@@ -37,6 +38,7 @@
 struct AdmissionOptions {
     LimitOptions limit;
     ShareOptions share;
+    DownstreamOptions downstream;
     absl::Duration window = absl::Milliseconds(100);
     absl::Duration minimumWaitTarget = absl::Milliseconds(10); ///< Lower bound of the wait target.
     double waitTargetFactor = 0.5; ///< Wait target (mean wait aimed at under overload) over mean call time.
@@ -50,7 +52,8 @@
 
 /// How a started call ended at the target.
 enum class RunResult : std::uint8_t {
-    Completed, ///< A complete response, including one that reports an application error.
+    Completed, ///< A complete response, including one that reports an error of the request.
+    Failed, ///< A complete response that reports an error of the target or of its own calls.
     RefusedByTarget, ///< The target reported that it did not run the call.
     Aborted, ///< Connection failure, cancellation or timeout: the time is not a valid sample.
 };
@@ -102,6 +105,7 @@
     AdmissionOptions options;
     LimitState limit;
     ShareState share;
+    DownstreamLimit downstream;
     bool isDraining = false;
     absl::Time windowStart = absl::InfinitePast();
     absl::Duration totalWait; ///< Of calls started from the queue in this window.
--- /dev/null
+++ b/include/jackdawwall/parent-run.h
@@ -0,0 +1,35 @@
+/// Attributes a call that the local target makes to the run that it is made for, where targets pass no token
+/// on: such a call expires at the time limit of its run. Each run is given a time limit that differs from the
+/// limits of the other runs in progress, so the limit of a call identifies its run. Calls with a shorter
+/// limit of their own stay without a parent.
+///
+/// Answers the pattern "nested calls lose the class of their request": nested calls of bookings and of reads
+/// meet at a deep service under the class of the same route.
+#pragma once
+
+#include "jackdawwall/core.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/time/time.h"
+
+#include <optional>
+
+namespace jackdawwall {
+
+/// Runs in progress at the local target by their time limit.
+struct ParentRuns {
+    absl::btree_map<absl::Time, Priority> byLimit;
+};
+
+/// Registers a run and returns its time limit: `desired` or slightly earlier. The limit is a whole number of
+/// milliseconds after `now`, as targets are given it in that unit. Empty if too many runs have nearly the
+/// same limit.
+std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, Priority priority, absl::Time now);
+
+/// Removes a run that ended.
+void removeRun(ParentRuns& runs, absl::Time limit);
+
+/// Class of the run that a call with this time limit belongs to.
+std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit);
+
+} // namespace jackdawwall
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -40,9 +40,9 @@
     return std::max(1, static_cast<int>(limit - std::max(1.0, reserve)));
 }
 
-bool hasCapacity(const AdmissionState& state, bool isLong)
+bool hasCapacity(const AdmissionState& state, CostKey cost, bool isLong)
 {
-    if (inFlight(state) >= currentLimit(state.limit))
+    if (inFlight(state) >= currentLimit(state.limit) || !mayStart(state.downstream, cost))
         return false;
     return !isLong || state.longInFlight < longCallLimit(state);
 }
@@ -54,6 +54,7 @@
     state.longInFlight += isLong ? 1 : 0;
     ++state.startedCount;
     recordStart(state.limit, inFlight(state));
+    recordDownstreamStart(state.downstream, call.cost);
 }
 
 double nextFinishTag(AdmissionState& state, const OfferedCall& call)
@@ -94,13 +95,16 @@
     return waitTarget(state) * state.options.maximumWaitTargets;
 }
 
-/// Expected wait of a call of this class that is enqueued now.
-absl::Duration expectedWait(const AdmissionState& state, Priority priority)
+/// Expected wait of a call that is enqueued now.
+absl::Duration expectedWait(const AdmissionState& state, const OfferedCall& call)
 {
     std::size_t ahead = 0;
-    for (std::size_t index = 0; index <= static_cast<std::size_t>(priority); ++index)
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(call.priority); ++index)
         ahead += state.waitingByClass.at(index);
-    const double rounds = static_cast<double>(ahead) / std::max(1, currentLimit(state.limit));
+    double limit = currentLimit(state.limit);
+    if (isDependent(state.downstream, call.cost))
+        limit = std::min(limit, state.downstream.limit);
+    const double rounds = static_cast<double>(ahead) / std::max(1.0, limit);
     return absl::Seconds(rounds * state.meanTime);
 }
 
@@ -108,7 +112,7 @@
 /// nodes have already done work for it.
 bool isRefusedForOverload(const AdmissionState& state, const OfferedCall& call)
 {
-    const absl::Duration wait = expectedWait(state, call.priority);
+    const absl::Duration wait = expectedWait(state, call);
     if (wait > waitLimit(state, call))
         return true;
     const bool isAboveFraction = call.rank >= admittedFraction(state, call.priority, call.caller);
@@ -121,8 +125,10 @@
     if (inFlight(state) >= currentLimit(state.limit))
         return state.queue.end();
     const bool isLongLimitReached = state.longInFlight >= longCallLimit(state);
-    return std::find_if(state.queue.begin(), state.queue.end(),
-        [&](const QueuePosition& position) { return !position.isLong || !isLongLimitReached; });
+    return std::find_if(state.queue.begin(), state.queue.end(), [&](const QueuePosition& position) {
+        return (!position.isLong || !isLongLimitReached)
+            && mayStart(state.downstream, state.waiting.at(position.id).call.cost);
+    });
 }
 
 void startWaiting(AdmissionState& state, absl::Time now, QueueUpdate& update)
@@ -245,7 +251,8 @@
     if (isRefusedForOverload(state, call))
         return { Verdict::Refuse, Reason::Overload };
     const bool isLong = isLongKind(state, call.cost);
-    if (state.queue.empty() && hasCapacity(state, isLong)) {
+    const bool isNext = hasCapacity(state, call.cost, isLong) && nextStartable(state) == state.queue.end();
+    if (isNext) {
         startCall(state, call, isLong, now);
         return { Verdict::Start, Reason::None };
     }
@@ -263,7 +270,8 @@
     const RunningCall running = found->second;
     state.running.erase(found);
     state.longInFlight -= running.isLong ? 1 : 0;
-    if (result == RunResult::Completed)
+    recordDownstreamEnd(state.downstream, running.cost, result == RunResult::Failed);
+    if (result == RunResult::Completed || result == RunResult::Failed)
         recordCompletion(state, running, downstreamTime, now);
     if (result == RunResult::RefusedByTarget)
         recordTargetRefusal(state.limit);
@@ -287,6 +295,7 @@
     refuseExpired(state, now, update);
     if (now - state.windowStart >= state.options.window)
         endWindow(state, now);
+    advanceDownstream(state.downstream, state.options.downstream, now);
     startWaiting(state, now, update);
     return update;
 }
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -76,6 +76,11 @@
         || result.reason == Reason::Leaving || result.reason == Reason::TargetShed;
 }
 
+bool isCapacityFailure(const AttemptResult& result)
+{
+    return result.outcome == Outcome::NotRun && result.reason == Reason::Overload;
+}
+
 /// Passes the fraction on to the parent call, which reports it with its response.
 void propagateFraction(NodeDecisions& decisions, const OutboundCall& call, std::uint32_t fraction)
 {
@@ -196,12 +201,13 @@
     call.isRouted = true;
     call.attempts = route.attempts;
     call.latencyObjective = route.latencyObjective;
+    call.isNested = request.isNested;
     call.callerDeadline = now + request.callerTimeout;
     CallContext& context = call.context;
     context.caller = request.caller;
     context.kind = route.name;
     context.requestId = request.requestId;
-    context.priority = route.priority;
+    context.priority = request.parentPriority.value_or(route.priority);
     context.isIdempotent = route.isIdempotent;
     context.deadline = now + std::min(request.callerTimeout, route.timeout);
     return call;
@@ -287,6 +293,8 @@
 void closeCall(
     NodeDecisions& decisions, const OutboundCall& call, const AttemptResult& result, absl::Time now)
 {
+    if (call.isNested && isCapacityFailure(result))
+        recordDownstreamRefusal(decisions.admission.downstream);
     const auto found = decisions.inbound.find(call.parent);
     if (found == decisions.inbound.end())
         return;
--- /dev/null
+++ b/src/parent-run.cc
@@ -0,0 +1,56 @@
+#include "jackdawwall/parent-run.h"
+
+#include <iterator>
+
+namespace jackdawwall {
+namespace {
+
+/// The limit of a nested call lies between these distances from that of its run: it is rounded down to
+/// milliseconds, and is extended by the time that the request and the call are in transit.
+constexpr absl::Duration kMaxRounding = absl::Milliseconds(2);
+constexpr absl::Duration kMaxTransit = absl::Milliseconds(6);
+constexpr absl::Duration kSpacing
+    = absl::Milliseconds(8); ///< Sum of both, so that the ranges do not overlap.
+/// Largest reduction of a run's time limit.
+constexpr absl::Duration kMaxReduction = absl::Milliseconds(100);
+
+/// First limit that is at or after `from`.
+absl::btree_map<absl::Time, Priority>::const_iterator firstFrom(const ParentRuns& runs, absl::Time from)
+{
+    return runs.byLimit.lower_bound(from);
+}
+
+} // namespace
+
+std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, Priority priority, absl::Time now)
+{
+    const absl::Time earliest = desired - kMaxReduction;
+    absl::Time limit = now + absl::Floor(desired - now, absl::Milliseconds(1));
+    while (limit > earliest) {
+        const auto next = firstFrom(runs, limit - kSpacing + absl::Nanoseconds(1));
+        if (next == runs.byLimit.end() || next->first >= limit + kSpacing) {
+            runs.byLimit.emplace(limit, priority);
+            return limit;
+        }
+        limit = now + absl::Floor(next->first - kSpacing - now, absl::Milliseconds(1));
+    }
+    return std::nullopt;
+}
+
+void removeRun(ParentRuns& runs, absl::Time limit)
+{
+    runs.byLimit.erase(limit);
+}
+
+std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit)
+{
+    auto after = runs.byLimit.upper_bound(limit + kMaxRounding);
+    if (after == runs.byLimit.begin())
+        return std::nullopt;
+    const auto run = std::prev(after);
+    if (limit - run->first > kMaxTransit)
+        return std::nullopt;
+    return run->second;
+}
+
+} // namespace jackdawwall
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -23,6 +23,7 @@
 struct IncomingRequest {
     Request request;
     absl::Time receivedAt; ///< When its last byte was read.
+    asio::ip::address remoteAddress; ///< Of the caller.
     std::function<void()> onAbandoned; ///< Called if the caller disconnects before the response.
     std::function<void()> onFinished; ///< Called once, after the response or the disconnect.
 
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -56,6 +56,8 @@
     , waitStartedAt_(steadyNow())
 {
     setSocketOptions(socket_);
+    beast::error_code ignoredError; // A caller that has already disconnected has no address.
+    remoteAddress_ = socket_.remote_endpoint(ignoredError).address();
 }
 
 void HttpSession::start()
@@ -133,6 +135,7 @@
     auto incoming = std::make_shared<IncomingRequest>();
     incoming->request = parser_->release();
     incoming->receivedAt = steadyNow();
+    incoming->remoteAddress = remoteAddress_;
     incoming->session = weak_from_this();
     incoming->bodyReservation = std::exchange(bodyReservation_, {});
     hasBodyReservation_ = false;
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -43,6 +43,7 @@
 
     HttpListener& listener_;
     Tcp::socket socket_;
+    asio::ip::address remoteAddress_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::deque<IncomingRequestPtr> pending_;
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -42,6 +42,9 @@
     routed.requestId = std::string(id);
     routed.callerTimeout = absl::Milliseconds(integerHeader(
         request, state.settings.names.remainingTime, absl::ToInt64Milliseconds(route->timeout)));
+    routed.isNested = state.gate.isTarget(incoming.remoteAddress);
+    routed.parentPriority
+        = state.gate.parentPriorityOf(incoming.remoteAddress, incoming.receivedAt + routed.callerTimeout);
     return openRouted(*route, routed, incoming.receivedAt);
 }
 
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -1,11 +1,13 @@
 #include "relay/target-gate.h"
 
+#include "adapter/log.h"
 #include "relay/breakage.h"
 
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace jackdawwall::relay {
 namespace {
@@ -17,6 +19,7 @@
 constexpr absl::Duration kMinQueueTime = absl::Milliseconds(20);
 /// Lower bound of the concurrency limit, as a share of the slots that the target declares.
 constexpr double kMinLimitShare = 0.7;
+constexpr unsigned kInternalServerError = 500;
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kMaxIdleTimeIdempotent = absl::Seconds(30);
 
@@ -123,7 +126,7 @@
         [this, id](ExchangeResult result) { onResponse(id, std::move(result)); });
 }
 
-std::string TargetGate::serializeRequestHead(const PendingCall& pending, absl::Time now) const
+std::string TargetGate::serializeRequestHead(PendingCall& pending, absl::Time now)
 {
     const CallContext& context = pending.call.context;
     const HeaderNames& names = options_.names;
@@ -132,7 +135,10 @@
         if (!name.empty())
             setHeader(head, name, value);
     };
-    const std::int64_t remaining = absl::ToInt64Milliseconds(context.deadline - now);
+    if (names.parent.empty())
+        pending.runLimit = addRun(runs_, context.deadline, context.priority, now);
+    const std::int64_t remaining
+        = absl::ToInt64Milliseconds(pending.runLimit.value_or(context.deadline) - now);
     set(names.remainingTime, absl::StrCat(std::max<std::int64_t>(1, remaining)));
     set(names.expectTarget, target_.lifetime.id);
     set(names.caller, context.caller);
@@ -153,9 +159,11 @@
     return feedbackFor(decisions_, pending.call.context, pending.token);
 }
 
-/// Ends the inbound call. Returns the time that the target spent waiting for its own calls.
-absl::Duration TargetGate::endInbound(const PendingCall& pending)
+/// Ends the run. Returns the time that the target spent waiting for its own calls.
+absl::Duration TargetGate::endRun(const PendingCall& pending)
 {
+    if (pending.runLimit)
+        removeRun(runs_, *pending.runLimit);
     return pending.token == 0 ? absl::ZeroDuration() : closeInbound(decisions_, pending.token, steadyNow());
 }
 
@@ -198,7 +206,7 @@
     GateResult classified = classifyResponse(*pending, result);
     RunResult runResult = RunResult::Aborted;
     if (classified.status == GateStatus::Answered)
-        runResult = RunResult::Completed;
+        runResult = httpStatus < kInternalServerError ? RunResult::Completed : RunResult::Failed;
     if (classified.status == GateStatus::Rejected)
         runResult = RunResult::RefusedByTarget;
     log_.record("target-call", pending->call.context.requestId, classified.status == GateStatus::Answered,
@@ -215,8 +223,7 @@
     const std::shared_ptr<PendingCall> pending = calls_.at(id);
     calls_.erase(id);
     result.feedback = feedback(*pending);
-    const QueueUpdate update
-        = finishCall(decisions_.admission, id, runResult, endInbound(*pending), steadyNow());
+    const QueueUpdate update = finishCall(decisions_.admission, id, runResult, endRun(*pending), steadyNow());
     result.feedback.waiting = static_cast<std::uint32_t>(waiting());
     pending->done(std::move(result));
     apply(update);
@@ -265,7 +272,7 @@
         return;
     if (pending->connection)
         pending->connection->cancel();
-    apply(finishCall(decisions_.admission, id, RunResult::Aborted, endInbound(*pending), steadyNow()));
+    apply(finishCall(decisions_.admission, id, RunResult::Aborted, endRun(*pending), steadyNow()));
 }
 
 void TargetGate::updateTarget(const TargetState& target)
@@ -295,7 +302,15 @@
 
 void TargetGate::tick(absl::Time now)
 {
+    const DownstreamLimit& downstream = decisions_.admission.downstream;
+    const bool wasLimited = std::isfinite(downstream.limit);
     apply(advanceTime(decisions_.admission, now));
+    if (wasLimited == std::isfinite(downstream.limit))
+        return;
+    logEvent(LogLevel::Info, wasLimited ? "downstream-limit-ended" : "downstream-limit-started",
+        { { "target", target_.lifetime.id }, { "limit", wasLimited ? 0 : downstream.limit },
+            { "kinds", downstream.dependentUntil.size() }, { "running", running() },
+            { "waiting", waiting() } });
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -5,6 +5,7 @@
 #include "adapter/metrics.h"
 #include "jackdawwall/arrival-budget.h"
 #include "jackdawwall/call-flow.h"
+#include "jackdawwall/parent-run.h"
 #include "jackdawwall/target-lifetime.h"
 #include "relay/names.h"
 #include "relay/request-log.h"
@@ -80,6 +81,14 @@
     }
     /// Refuses calls that were queued for too long. Call it every 10 to 50 ms.
     void tick(absl::Time now);
+    /// Class of the run that makes a call with this time limit; empty when the caller isn't the target, or
+    /// the call has a shorter limit of its own.
+    std::optional<Priority> parentPriorityOf(const asio::ip::address& caller, absl::Time timeLimit) const
+    {
+        return isTarget(caller) ? parentPriority(runs_, timeLimit) : std::nullopt;
+    }
+    /// True for the address of the target's host.
+    bool isTarget(const asio::ip::address& caller) const { return caller == endpoint_.address(); }
     int waiting() const { return static_cast<int>(decisions_.admission.waiting.size()); }
     int running() const { return inFlight(decisions_.admission); }
 
@@ -89,6 +98,7 @@
         GateCallback done;
         std::shared_ptr<UpstreamConnection> connection;
         CallToken token = 0; ///< Set while the call runs in a target that may make calls itself.
+        std::optional<absl::Time> runLimit; ///< Time limit under which the run is registered in `runs_`.
         absl::Time offeredAt;
     };
 
@@ -99,9 +109,9 @@
     void refuse(CallId id, Reason reason);
     void countOffer(const PendingCall& pending, Outcome outcome, Reason reason);
     void apply(const QueueUpdate& update);
-    std::string serializeRequestHead(const PendingCall& pending, absl::Time now) const;
+    std::string serializeRequestHead(PendingCall& pending, absl::Time now);
     CallFeedback feedback(const PendingCall& pending);
-    absl::Duration endInbound(const PendingCall& pending);
+    absl::Duration endRun(const PendingCall& pending);
 
     NodeDecisions& decisions_;
     UpstreamPool& pool_;
@@ -111,6 +121,7 @@
     Tcp::endpoint endpoint_;
     TargetState target_;
     ArrivalBudget arrivalBudget_;
+    ParentRuns runs_;
     std::size_t targetCount_ = 1;
     CallId lastId_ = 0;
     absl::flat_hash_map<CallId, std::shared_ptr<PendingCall>> calls_;
--- /dev/null
+++ b/test/parent-run-test.cc
@@ -0,0 +1,78 @@
+#include "jackdawwall/parent-run.h"
+
+#include "test/table.h"
+
+#include <optional>
+#include <vector>
+
+namespace jackdawwall {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+struct MatchRow {
+    const char* name;
+    absl::Duration fromRun; ///< Limit of the call after the limit of the run.
+    bool matches;
+};
+
+BOOST_AUTO_TEST_CASE(aCallBelongsToTheRunThatExpiresWithIt)
+{
+    const std::vector<MatchRow> table {
+        { "same instant", absl::ZeroDuration(), true },
+        { "rounded down", absl::Milliseconds(-1), true },
+        { "delayed in transit", absl::Milliseconds(5), true },
+        { "too late", absl::Milliseconds(7), false },
+        { "too early", absl::Milliseconds(-3), false },
+        { "a shorter limit of its own", absl::Milliseconds(-800), false },
+    };
+    test::forEachRow(table, [](const MatchRow& row) {
+        ParentRuns runs;
+        const auto limit = addRun(runs, kStart + absl::Seconds(1), Priority::Critical, kStart);
+        BOOST_REQUIRE(limit.has_value());
+        const auto priority = parentPriority(runs, *limit + row.fromRun);
+        BOOST_TEST(priority.has_value() == row.matches);
+        if (priority)
+            BOOST_TEST((*priority == Priority::Critical));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(callsOfConcurrentRunsWithTheSameLimitKeepTheirClass)
+{
+    ParentRuns runs;
+    const absl::Time desired = kStart + absl::Milliseconds(1500);
+    const auto booking = addRun(runs, desired, Priority::Critical, kStart);
+    const auto read = addRun(runs, desired, Priority::Browse, kStart);
+    BOOST_REQUIRE((booking && read));
+    BOOST_TEST((*booking <= desired && *read <= desired));
+    for (const absl::Duration transit : { absl::ZeroDuration(), absl::Milliseconds(4) }) {
+        BOOST_TEST((parentPriority(runs, *booking + transit) == Priority::Critical));
+        BOOST_TEST((parentPriority(runs, *read + transit) == Priority::Browse));
+    }
+    removeRun(runs, *booking);
+    BOOST_TEST(!parentPriority(runs, *booking).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aLimitIsReducedOnlySlightly)
+{
+    ParentRuns runs;
+    const absl::Time desired = kStart + absl::Seconds(2);
+    int registered = 0;
+    for (int run = 0; run < 40; ++run) {
+        const auto limit = addRun(runs, desired, Priority::Browse, kStart);
+        registered += limit ? 1 : 0;
+        if (limit)
+            BOOST_TEST((*limit > desired - absl::Milliseconds(100) && *limit <= desired));
+    }
+    BOOST_TEST(registered == 13); // One for each 8 ms.
+}
+
+BOOST_AUTO_TEST_CASE(limitsAreWholeMillisecondsFromNow)
+{
+    ParentRuns runs;
+    const auto limit = addRun(runs, kStart + absl::Microseconds(1500700), Priority::Browse, kStart);
+    BOOST_TEST((limit == kStart + absl::Milliseconds(1500)));
+}
+
+} // namespace
+} // namespace jackdawwall
