The downstream limit ends when the deep services have room, and nested calls are never demoted

Change: responses to nested calls report whether calls wait at their target; a window without a refusal and with few queues doubles the limit. A call that outlives all runs in progress is not nested. A nested call takes the more urgent of its route's class and its run's.

--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -132,7 +132,8 @@
     std::string requestId;
     absl::Duration callerTimeout; ///< How long the caller waits.
     bool isNested = false; ///< The local target makes the call.
-    std::optional<Priority> parentPriority; ///< Class of the run that makes the call, if it is known.
+    /// Class of the run that makes the call, if it is known; used when it is more urgent than the route.
+    std::optional<Priority> parentPriority;
 };
 
 /// One copy of a call, sent to one target.
--- a/include/jackdawwall/downstream-limit.h
+++ b/include/jackdawwall/downstream-limit.h
@@ -4,8 +4,8 @@
 /// queue of the local target, not the deep service, chooses which ones by class.
 ///
 /// The limit acts on the kinds of work whose runs fail while nested calls are refused. It starts below the
-/// concurrency of these kinds, follows their failures (additive increase, multiplicative decrease), and ends
-/// when no nested call is refused any more.
+/// concurrency of these kinds, follows their failures (small increases, larger decreases), and ends within a
+/// few windows once the deep services have room again.
 #pragma once
 
 #include "jackdawwall/concurrency-limit.h"
@@ -29,6 +29,10 @@
     double decreasePerFailure = 0.5; ///< Decrease of the limit over the share of failed runs.
     double maximumDecrease = 0.15; ///< Largest relative decrease at the end of a window.
     double increase = 0.025; ///< Relative increase in a window without too many failures.
+    /// Relative increase while the deep services have room: no nested call is refused, and few responses
+    /// report a queue.
+    double increaseWithRoom = 1;
+    double maximumQueuedShare = 0.2; ///< Share of responses with a queue up to which there is room.
     /// Consecutive windows without a refused nested call from which each doubles the increase. Below, the
     /// limit stays near the capacity that the last refusals showed.
     int steadyWindows = 4;
@@ -49,6 +53,8 @@
     absl::flat_hash_map<CostKey, absl::Time> dependentUntil;
     absl::flat_hash_map<CostKey, int> running; ///< Runs in progress by kind.
     absl::flat_hash_map<CostKey, DownstreamRuns> window; ///< Runs that ended in this window.
+    int responses = 0; ///< To nested calls in this window.
+    int queuedResponses = 0; ///< Of these, from a target with a queue.
     int refusals = 0; ///< Nested calls refused for lack of capacity in this window.
     int peakRunning = 0; ///< Of dependent kinds in this window.
     double minimum = 1; ///< Smallest value of the limit.
@@ -71,6 +77,9 @@
 /// Records that a nested call of the local target was refused for lack of capacity.
 void recordDownstreamRefusal(DownstreamLimit& state);
 
+/// Records a response to a nested call and whether calls wait at the target that sent it.
+void recordDownstreamResponse(DownstreamLimit& state, bool hasQueue);
+
 /// Adjusts the limit once the window is over. Call it every 10 to 100 ms.
 void advanceDownstream(DownstreamLimit& state, const DownstreamOptions& options, absl::Time now);
 
--- a/include/jackdawwall/parent-run.h
+++ b/include/jackdawwall/parent-run.h
@@ -29,6 +29,9 @@
 /// Removes a run that ended.
 void removeRun(ParentRuns& runs, absl::Time limit);
 
+/// True if a call with this time limit may belong to a run in progress: it does not outlive all of them.
+bool mayHaveParent(const ParentRuns& runs, absl::Time limit);
+
 /// Class of the run that a call with this time limit belongs to.
 std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit);
 
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -207,7 +207,8 @@
     context.caller = request.caller;
     context.kind = route.name;
     context.requestId = request.requestId;
-    context.priority = request.parentPriority.value_or(route.priority);
+    // A nested call is never less urgent than its route: work has already been done for it.
+    context.priority = std::min(route.priority, request.parentPriority.value_or(route.priority));
     context.isIdempotent = route.isIdempotent;
     context.deadline = now + std::min(request.callerTimeout, route.timeout);
     return call;
@@ -264,6 +265,8 @@
     recordAttemptEnd(decisions.routing, attempt.address, observation, now);
     call.arrivals += report.hasArrived ? 1 : 0;
     call.hasLastAttemptArrived = report.hasArrived;
+    if (call.isNested && report.hasResponse && report.hasArrived)
+        recordDownstreamResponse(decisions.admission.downstream, waiting > 0);
     if (report.feedback && !call.isRouted)
         applyFeedback(decisions, call, attempt, *report.feedback, now);
     if (report.result.outcome == Outcome::Ok && !call.isRouted)
--- a/src/downstream-limit.cc
+++ b/src/downstream-limit.cc
@@ -50,6 +50,12 @@
     return result;
 }
 
+bool hasRoom(const DownstreamLimit& state, const DownstreamOptions& options)
+{
+    return state.refusals == 0 && state.responses > 0
+        && state.queuedResponses <= options.maximumQueuedShare * state.responses;
+}
+
 double nextLimit(const DownstreamLimit& state, const DownstreamOptions& options, const DownstreamRuns& runs)
 {
     const double failures = runs.ended == 0 ? 0 : static_cast<double>(runs.failed) / runs.ended;
@@ -58,6 +64,8 @@
         const double decrease = std::min(options.maximumDecrease, options.decreasePerFailure * failures);
         return std::max(state.minimum, reached * (1 - decrease));
     }
+    if (hasRoom(state, options))
+        return state.limit * (1 + options.increaseWithRoom);
     if (state.refusals == 0 && state.peakRunning < static_cast<int>(state.limit))
         return state.limit * (1 + options.unusedIncrease);
     const int doublings = std::max(0, state.quietWindows - options.steadyWindows);
@@ -109,6 +117,12 @@
     ++state.refusals;
 }
 
+void recordDownstreamResponse(DownstreamLimit& state, bool hasQueue)
+{
+    ++state.responses;
+    state.queuedResponses += hasQueue ? 1 : 0;
+}
+
 void advanceDownstream(DownstreamLimit& state, const DownstreamOptions& options, absl::Time now)
 {
     if (state.windowStart == absl::InfinitePast())
@@ -126,6 +140,8 @@
         state.limit = kUnlimited;
     state.window.clear();
     state.refusals = 0;
+    state.responses = 0;
+    state.queuedResponses = 0;
     state.peakRunning = 0;
     state.windowStart = now;
 }
--- a/src/parent-run.cc
+++ b/src/parent-run.cc
@@ -42,6 +42,11 @@
     runs.byLimit.erase(limit);
 }
 
+bool mayHaveParent(const ParentRuns& runs, absl::Time limit)
+{
+    return !runs.byLimit.empty() && limit - runs.byLimit.rbegin()->first <= kMaxTransit;
+}
+
 std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit)
 {
     auto after = runs.byLimit.upper_bound(limit + kMaxRounding);
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -42,9 +42,10 @@
     routed.requestId = std::string(id);
     routed.callerTimeout = absl::Milliseconds(integerHeader(
         request, state.settings.names.remainingTime, absl::ToInt64Milliseconds(route->timeout)));
-    routed.isNested = state.gate.isTarget(incoming.remoteAddress);
-    routed.parentPriority
-        = state.gate.parentPriorityOf(incoming.remoteAddress, incoming.receivedAt + routed.callerTimeout);
+    const absl::Time timeLimit = incoming.receivedAt + routed.callerTimeout;
+    routed.isNested = state.gate.mayBeNested(incoming.remoteAddress, timeLimit);
+    if (routed.isNested)
+        routed.parentPriority = state.gate.parentPriorityOf(timeLimit);
     return openRouted(*route, routed, incoming.receivedAt);
 }
 
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -81,14 +81,18 @@
     }
     /// Refuses calls that were queued for too long. Call it every 10 to 50 ms.
     void tick(absl::Time now);
-    /// Class of the run that makes a call with this time limit; empty when the caller isn't the target, or
-    /// the call has a shorter limit of its own.
-    std::optional<Priority> parentPriorityOf(const asio::ip::address& caller, absl::Time timeLimit) const
+    /// True if the target may have made a call with this time limit for one of its runs. Other callers on the
+    /// target's host have the same address.
+    bool mayBeNested(const asio::ip::address& caller, absl::Time timeLimit) const
     {
-        return isTarget(caller) ? parentPriority(runs_, timeLimit) : std::nullopt;
+        return caller == endpoint_.address() && mayHaveParent(runs_, timeLimit);
+    }
+    /// Class of the run that makes a nested call with this time limit; empty when the call has a shorter
+    /// limit of its own.
+    std::optional<Priority> parentPriorityOf(absl::Time timeLimit) const
+    {
+        return parentPriority(runs_, timeLimit);
     }
-    /// True for the address of the target's host.
-    bool isTarget(const asio::ip::address& caller) const { return caller == endpoint_.address(); }
     int waiting() const { return static_cast<int>(decisions_.admission.waiting.size()); }
     int running() const { return inFlight(decisions_.admission); }
 
--- a/test/parent-run-test.cc
+++ b/test/parent-run-test.cc
@@ -53,6 +53,17 @@
     BOOST_TEST(!parentPriority(runs, *booking).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(aCallThatOutlivesAllRunsHasNoParent)
+{
+    ParentRuns runs;
+    BOOST_TEST(!mayHaveParent(runs, kStart));
+    const auto limit = addRun(runs, kStart + absl::Seconds(1), Priority::Browse, kStart);
+    BOOST_REQUIRE(limit.has_value());
+    BOOST_TEST(mayHaveParent(runs, *limit));
+    BOOST_TEST(mayHaveParent(runs, *limit - absl::Milliseconds(300)));
+    BOOST_TEST(!mayHaveParent(runs, kStart + absl::Seconds(5)));
+}
+
 BOOST_AUTO_TEST_CASE(aLimitIsReducedOnlySlightly)
 {
     ParentRuns runs;
