Neighbours that lack nothing get a gossip message only every fourth round

Cause: each node sent a message to nine neighbours every 500 ms on the large site, whether or not anything had changed; the number of neighbours grows with the logarithm of the fleet, and most are in other data centres. Change: the two successors get a message every round (failure detection), others when they lack a change or the configuration, and else every fourth round.

--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kSuccessors = 2;
+/// Neighbours that lack nothing and are no successors get a message only every this many rounds. Two
+/// successors are enough to detect a failed node, and the number of the others grows with the fleet.
+constexpr unsigned kIdleRounds = 4;
 /// Limit on the members in one message.
 constexpr std::size_t kMaxMembersPerMessage = 200;
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
@@ -39,7 +42,7 @@
                 { "incarnation", changed.incarnation } });
         membersChanged(state_);
     }
-    announce();
+    sendRound();
     timer_.expires_after(absl::ToChronoMicroseconds(state_.settings.gossipInterval));
     timer_.async_wait([this](beast::error_code error) {
         if (!error)
@@ -47,6 +50,27 @@
     });
 }
 
+void PeerLink::sendRound()
+{
+    const bool isFullRound = round_++ % kIdleRounds == 0;
+    std::size_t position = 0;
+    for (const Member& member : chooseNeighbours(state_.decisions.membership, kSuccessors)) {
+        const bool isSuccessor = position++ < kSuccessors;
+        if (member.peerAddress != state_.decisions.membership.self
+            && (isSuccessor || isFullRound || isBehind(member.peerAddress)))
+            sendUpdate(member.peerAddress);
+    }
+}
+
+bool PeerLink::isBehind(const std::string& address)
+{
+    const MembershipState& membership = state_.decisions.membership;
+    const auto known = membership.neighbours.find(address);
+    if (known == membership.neighbours.end() || known->second.acknowledged < membership.lastChange)
+        return true;
+    return neighbours_[address].configurationVersion < state_.configuration.version;
+}
+
 void PeerLink::announce(std::function<void()> onAcknowledged)
 {
     if (onAcknowledged)
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -41,6 +41,10 @@
     };
 
     void runRound();
+    /// Sends an update to the neighbours that are due in this round.
+    void sendRound();
+    /// True if the neighbour lacks a change or the configuration.
+    bool isBehind(const std::string& address);
     void sendUpdate(const std::string& address);
     void onReply(const std::string& address, std::uint64_t upTo, const ExchangeResult& result);
     std::string encodeUpdate(const std::string& address, bool isReply, std::uint64_t& upTo);
@@ -52,6 +56,7 @@
     PeerLinkEvents events_;
     asio::steady_timer timer_;
     std::string runId_;
+    unsigned round_ = 0;
     std::map<std::string, Neighbour> neighbours_;
     /// Callbacks of announce, each with the change number that a neighbour has to acknowledge first.
     std::vector<std::pair<std::uint64_t, std::function<void()>>> pendingAnnouncements_;
