Requests with large bodies stay in their data centre longer

Cause: bytes between data centres lead the prices of all sites; an upload of 60 KB moves as much as a dozen reads, but the cost of a remote target was the same for both. Change: the cost of a remote target grows with the request's body (remoteCostPerMegabyte).

--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -120,6 +120,7 @@
     int arrivals = 0; ///< Attempts that reached, or may have reached, a target.
     bool hasLastAttemptArrived = false; ///< The last attempt reached, or may have reached, its target.
     int refusals = 0; ///< Attempts that a node refused before its target.
+    std::uint64_t bodyBytes = 0; ///< Of the request.
     bool isNested = false; ///< Routed: made by the local target.
     absl::Duration latencyObjective; ///< 0 when there is none.
     absl::Time callerDeadline = absl::InfiniteFuture(); ///< The caller stops waiting at this time.
@@ -131,6 +132,7 @@
     std::string caller;
     std::string requestId;
     absl::Duration callerTimeout; ///< How long the caller waits.
+    std::uint64_t bodyBytes = 0;
     bool isNested = false; ///< The local target makes the call.
     /// Class of the run that makes the call, if it is known; used when it is more urgent than the route.
     std::optional<Priority> parentPriority;
--- a/include/jackdawwall/routing.h
+++ b/include/jackdawwall/routing.h
@@ -29,6 +29,8 @@
     absl::Duration latencyHalfLife
         = absl::Seconds(1); ///< Of an observed latency, so that a slow target is tried again.
     absl::Duration remoteCost = absl::Milliseconds(3); ///< Added latency of a target in another data centre.
+    /// Added to remoteCost for each megabyte of the request's body.
+    absl::Duration remoteCostPerMegabyte;
     absl::Duration levelHoldTime
         = absl::Milliseconds(300); ///< Without updates, a fraction is kept this long, then raised in steps.
     absl::Duration levelStep = absl::Milliseconds(100); ///< Interval between these steps.
@@ -79,9 +81,15 @@
 std::vector<Candidate> chooseSubset(
     absl::Span<const Candidate> members, absl::string_view self, std::size_t size);
 
+/// A call for which a target is chosen.
+struct RoutingRequest {
+    absl::Span<const std::string> excluded; ///< Addresses that were tried before.
+    std::uint64_t bodyBytes = 0;
+};
+
 /// Index of the chosen candidate, or -1 when there is no candidate outside `excluded`.
 int pickTarget(const RoutingState& state, absl::Span<const Candidate> candidates,
-    absl::Span<const std::string> excluded, Generator& generator, absl::Time now);
+    const RoutingRequest& request, Generator& generator, absl::Time now);
 
 /// Records that an attempt was sent to `address`.
 void recordAttemptStart(RoutingState& state, const std::string& address);
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -100,7 +100,8 @@
 std::optional<CallAttempt> attemptNextTarget(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
 {
     const std::vector<Candidate>& candidates = candidatesFor(decisions, call.service);
-    const int index = pickTarget(decisions.routing, candidates, call.tried, decisions.generator, now);
+    const int index
+        = pickTarget(decisions.routing, candidates, { call.tried, call.bodyBytes }, decisions.generator, now);
     if (index < 0)
         return std::nullopt;
     CallAttempt attempt { candidates[static_cast<std::size_t>(index)].address, 0, now };
@@ -202,6 +203,7 @@
     call.attempts = route.attempts;
     call.latencyObjective = route.latencyObjective;
     call.isNested = request.isNested;
+    call.bodyBytes = request.bodyBytes;
     call.callerDeadline = now + request.callerTimeout;
     CallContext& context = call.context;
     context.caller = request.caller;
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -16,6 +16,10 @@
 /// money, so a remote target is used only when the local ones are clearly busier.
 constexpr absl::Duration kRemoteCost = absl::Milliseconds(150);
 
+/// The same for each megabyte of a request's body: an upload leaves its data centre only when the local
+/// targets are far busier.
+constexpr absl::Duration kRemoteCostPerMegabyte = absl::Seconds(10);
+
 /// Largest share of the slots that may be reserved for short work. Long work keeps at least a quarter,
 /// because the queue's order already puts urgent short work first.
 constexpr double kMaxReserve = 0.75;
@@ -42,6 +46,7 @@
     routed.requestId = std::string(id);
     routed.callerTimeout = absl::Milliseconds(integerHeader(
         request, state.settings.names.remainingTime, absl::ToInt64Milliseconds(route->timeout)));
+    routed.bodyBytes = request.body().size();
     const absl::Time timeLimit = incoming.receivedAt + routed.callerTimeout;
     routed.isNested = state.gate.mayBeNested(incoming.remoteAddress, timeLimit);
     if (routed.isNested)
@@ -91,6 +96,7 @@
 {
     RoutingOptions options;
     options.remoteCost = kRemoteCost;
+    options.remoteCostPerMegabyte = kRemoteCostPerMegabyte;
     return options;
 }
 
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -13,6 +13,7 @@
 constexpr double kLevelWeight = 0.25;
 constexpr double kMinimumLatencySeconds = 0.001;
 constexpr std::size_t kMaximumLevels = 16384;
+constexpr double kMegabyte = 1 << 20;
 
 struct HashedMember {
     std::uint64_t hash = 0;
@@ -59,10 +60,19 @@
     return std::max(kMinimumLatencySeconds, view.latency * std::exp2(-std::max(0.0, halfLives)));
 }
 
-/// Expected duration of an additional call, in seconds.
-double expectedCallSeconds(const RoutingState& state, const Candidate& candidate, absl::Time now)
+/// Cost of using a target in another data centre, in seconds.
+double remoteCostSeconds(const RoutingOptions& options, std::uint64_t bodyBytes)
 {
-    const double penalty = candidate.isLocal ? 0 : absl::ToDoubleSeconds(state.options.remoteCost);
+    const double megabytes = static_cast<double>(bodyBytes) / kMegabyte;
+    return absl::ToDoubleSeconds(options.remoteCost)
+        + megabytes * absl::ToDoubleSeconds(options.remoteCostPerMegabyte);
+}
+
+/// Expected duration of an additional call, in seconds; `remoteCost` is added for a remote target.
+double expectedCallSeconds(
+    const RoutingState& state, const Candidate& candidate, double remoteCost, absl::Time now)
+{
+    const double penalty = candidate.isLocal ? 0 : remoteCost;
     const TargetView* view = findTargetView(state, candidate.address);
     if (view == nullptr)
         return kMinimumLatencySeconds + penalty;
@@ -107,16 +117,20 @@
 }
 
 int pickTarget(const RoutingState& state, absl::Span<const Candidate> candidates,
-    absl::Span<const std::string> excluded, Generator& generator, absl::Time now)
+    const RoutingRequest& request, Generator& generator, absl::Time now)
 {
-    const std::vector<int> choices = usableCandidates(state, candidates, excluded, now);
+    const std::vector<int> choices = usableCandidates(state, candidates, request.excluded, now);
     if (choices.empty())
         return -1;
     if (choices.size() == 1)
         return choices.front();
     const auto [left, right] = sampleTwo(candidates, choices, generator);
-    const double leftSeconds = expectedCallSeconds(state, candidates[static_cast<std::size_t>(left)], now);
-    const double rightSeconds = expectedCallSeconds(state, candidates[static_cast<std::size_t>(right)], now);
+    const double remoteCost = remoteCostSeconds(state.options, request.bodyBytes);
+    const auto expectedSeconds = [&](int index) {
+        return expectedCallSeconds(state, candidates[static_cast<std::size_t>(index)], remoteCost, now);
+    };
+    const double leftSeconds = expectedSeconds(left);
+    const double rightSeconds = expectedSeconds(right);
     return leftSeconds <= rightSeconds ? left : right;
 }
 
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -27,9 +27,9 @@
     const std::vector<Candidate> list = candidates(3);
     const std::vector<std::string> tried { "t0", "t2" };
     for (int round = 0; round < 50; ++round)
-        BOOST_TEST(pickTarget(state, list, tried, generator, kStart) == 1);
+        BOOST_TEST(pickTarget(state, list, { tried }, generator, kStart) == 1);
     const std::vector<std::string> all { "t0", "t1", "t2" };
-    BOOST_TEST(pickTarget(state, list, all, generator, kStart) == -1);
+    BOOST_TEST(pickTarget(state, list, { all }, generator, kStart) == -1);
     BOOST_TEST(pickTarget(state, {}, {}, generator, kStart) == -1);
 }
 
@@ -76,6 +76,26 @@
         BOOST_TEST(pickTarget(state, list, {}, generator, kStart) != 0);
 }
 
+// Pattern "large bodies between data centres": the traffic costs more than a queue at the local target.
+BOOST_AUTO_TEST_CASE(largeBodiesStayInTheLocalDataCentreLongerThanSmallOnes)
+{
+    RoutingState state;
+    state.options.remoteCost = absl::Milliseconds(150);
+    state.options.remoteCostPerMegabyte = absl::Seconds(10);
+    Generator generator(1);
+    std::vector<Candidate> list = candidates(2);
+    list[1].isLocal = false;
+    for (const Candidate& candidate : list)
+        recordAttemptEnd(state, candidate.address, { true, false, absl::Milliseconds(200), 0 }, kStart);
+    for (int call = 0; call < 2; ++call)
+        recordAttemptStart(state, "t0");
+    BOOST_TEST(pickTarget(state, list, { {}, 0 }, generator, kStart) == 1);
+    BOOST_TEST(pickTarget(state, list, { {}, 64U << 10 }, generator, kStart) == 0);
+    for (int call = 0; call < 8; ++call)
+        recordAttemptStart(state, "t0");
+    BOOST_TEST(pickTarget(state, list, { {}, 64U << 10 }, generator, kStart) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(subsetsAreStableAndPreferTheLocalDataCentre)
 {
     std::vector<Candidate> members = candidates(40);
