--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -78,7 +78,8 @@
 
 bool isCapacityFailure(const AttemptResult& result)
 {
-    return result.outcome == Outcome::NotRun && result.reason == Reason::Overload;
+    return result.outcome == Outcome::NotRun
+        && (result.reason == Reason::Overload || result.reason == Reason::Deadline);
 }
 
 /// Passes the fraction on to the parent call, which reports it with its response.
