--- a/include/jackdawwall/downstream-limit.h
+++ b/include/jackdawwall/downstream-limit.h
@@ -19,10 +19,11 @@
 
 struct DownstreamOptions {
     absl::Duration minimumWindow = absl::Milliseconds(200);
-    absl::Duration minimumFailureWindow = absl::Milliseconds(40); ///< Of a window that ends by failures.
+    /// Ends a window that has fewer runs than `sufficientRuns`.
+    absl::Duration maximumWindow = absl::Seconds(1);
+    /// Smallest length of a window that ends by `sufficientFailures`.
+    absl::Duration minimumFailureWindow = absl::Milliseconds(40);
     int sufficientFailures = 3; ///< Failed runs that end a window: each frees its place for the next to fail.
-    absl::Duration maximumWindow
-        = absl::Seconds(1); ///< A window with fewer runs than needed ends after this.
     int sufficientRuns = 10; ///< Runs of dependent kinds that end a window.
     int minimumFailures = 2; ///< Failed runs of a kind in a window that show that it depends on others.
     double tolerableFailures = 0.05; ///< Share of failed runs up to which the limit is raised.
@@ -43,14 +44,16 @@
     absl::Duration dependenceTime = absl::Seconds(3); ///< A kind is dependent this long after a refusal.
 };
 
+/// Runs of one kind that ended in a window.
 struct DownstreamRuns {
     int ended = 0;
     int failed = 0;
 };
 
+/// State of the limit at one target.
 struct DownstreamLimit {
     double limit = std::numeric_limits<double>::infinity(); ///< Concurrent runs of all dependent kinds.
-    absl::flat_hash_map<CostKey, absl::Time> dependentUntil;
+    absl::flat_hash_map<CostKey, absl::Time> dependentUntil; ///< The kinds that the limit applies to.
     absl::flat_hash_map<CostKey, int> running; ///< Runs in progress by kind.
     absl::flat_hash_map<CostKey, DownstreamRuns> window; ///< Runs that ended in this window.
     int responses = 0; ///< To nested calls in this window.
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -76,6 +76,7 @@
         || result.reason == Reason::Leaving || result.reason == Reason::TargetShed;
 }
 
+/// True if nodes refused the call because their targets could not run it in time.
 bool isCapacityFailure(const AttemptResult& result)
 {
     return result.outcome == Outcome::NotRun
--- a/src/downstream-limit.cc
+++ b/src/downstream-limit.cc
@@ -72,7 +72,7 @@
     return state.limit * (1 + options.increase * std::exp2(doublings));
 }
 
-/// True when the window has shown enough to adjust the limit.
+/// True once the window contains enough runs or failures to adjust the limit.
 bool isWindowOver(const DownstreamLimit& state, const DownstreamOptions& options, absl::Duration length)
 {
     const DownstreamRuns runs = dependentRuns(state);
--- a/src/parent-run.cc
+++ b/src/parent-run.cc
@@ -9,17 +9,11 @@
 /// milliseconds, and is extended by the time that the request and the call are in transit.
 constexpr absl::Duration kMaxRounding = absl::Milliseconds(2);
 constexpr absl::Duration kMaxTransit = absl::Milliseconds(6);
-constexpr absl::Duration kSpacing
-    = absl::Milliseconds(8); ///< Sum of both, so that the ranges do not overlap.
+/// Sum of both, so that the ranges of two runs do not overlap.
+constexpr absl::Duration kSpacing = absl::Milliseconds(8);
 /// Largest reduction of a run's time limit.
 constexpr absl::Duration kMaxReduction = absl::Milliseconds(100);
 
-/// First limit that is at or after `from`.
-absl::btree_map<absl::Time, Priority>::const_iterator firstFrom(const ParentRuns& runs, absl::Time from)
-{
-    return runs.byLimit.lower_bound(from);
-}
-
 } // namespace
 
 std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, Priority priority, absl::Time now)
@@ -27,7 +21,7 @@
     const absl::Time earliest = desired - kMaxReduction;
     absl::Time limit = now + absl::Floor(desired - now, absl::Milliseconds(1));
     while (limit > earliest) {
-        const auto next = firstFrom(runs, limit - kSpacing + absl::Nanoseconds(1));
+        const auto next = runs.byLimit.upper_bound(limit - kSpacing);
         if (next == runs.byLimit.end() || next->first >= limit + kSpacing) {
             runs.byLimit.emplace(limit, priority);
             return limit;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -71,10 +71,7 @@
               [this](const std::vector<Member>& members) { peerLink_.addMembers(members); },
               [this](const std::optional<Lifetime>& left) { onPreviousLeave(left); },
               [this](StoreRevision revision) { onRegistered(revision); },
-              [this] {
-                  updateLocalMember(0);
-                  peerLink_.announce();
-              } })
+              [this] { onStoreReachabilityChanged(); } })
     , callerListener_(
           loop, std::move(ports.callers),
           [this](const IncomingRequestPtr& incoming) { onCallerRequest(incoming); }, &state_.bufferedBodies)
@@ -317,6 +314,12 @@
     peerLink_.announce();
 }
 
+void RelayNode::onStoreReachabilityChanged()
+{
+    updateLocalMember(0);
+    peerLink_.announce();
+}
+
 bool RelayNode::onConfiguration(const std::string& document)
 {
     absl::StatusOr<Configuration> decoded = port_.decodeConfiguration(document);
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -63,6 +63,7 @@
     void onLeave(const TargetChange& change, const IncomingRequestPtr& incoming);
     void onPreviousLeave(const std::optional<Lifetime>& left);
     void onRegistered(StoreRevision revision);
+    void onStoreReachabilityChanged();
     /// Treats the target as ready; for targets that send no heartbeats.
     void assumeTargetReady();
     /// Passes the current state of the target to the gate and to other members.
