--- a/src/downstream-limit.cc
+++ b/src/downstream-limit.cc
@@ -20,9 +20,14 @@
     return result;
 }
 
+bool hasTooManyFailures(const DownstreamRuns& runs, const DownstreamOptions& options)
+{
+    return runs.failed > options.tolerableFailures * runs.ended;
+}
+
 bool showsDependence(const DownstreamRuns& runs, const DownstreamOptions& options)
 {
-    return runs.failed >= options.minimumFailures && runs.failed > options.tolerableFailures * runs.ended;
+    return runs.failed >= options.minimumFailures && hasTooManyFailures(runs, options);
 }
 
 /// Kinds that failed become dependent, and stay so while nested calls are refused.
@@ -58,8 +63,8 @@
 
 double nextLimit(const DownstreamLimit& state, const DownstreamOptions& options, const DownstreamRuns& runs)
 {
-    const double failures = runs.ended == 0 ? 0 : static_cast<double>(runs.failed) / runs.ended;
-    if (state.refusals > 0 && failures > options.tolerableFailures) {
+    if (state.refusals > 0 && hasTooManyFailures(runs, options)) {
+        const double failures = static_cast<double>(runs.failed) / runs.ended;
         const double reached = std::min(state.limit, static_cast<double>(state.peakRunning));
         const double decrease = std::min(options.maximumDecrease, options.decreasePerFailure * failures);
         return std::max(state.minimum, reached * (1 - decrease));
@@ -73,13 +78,12 @@
 }
 
 /// True once the window contains enough runs or failures to adjust the limit.
-bool isWindowOver(const DownstreamLimit& state, const DownstreamOptions& options, absl::Duration length)
+bool isWindowOver(const DownstreamLimit& state, const DownstreamOptions& options, const DownstreamRuns& runs,
+    absl::Duration length)
 {
-    const DownstreamRuns runs = dependentRuns(state);
     if (length < options.minimumWindow)
         return length >= options.minimumFailureWindow && state.refusals > 0
-            && runs.failed >= options.sufficientFailures
-            && runs.failed > options.tolerableFailures * runs.ended;
+            && runs.failed >= options.sufficientFailures && hasTooManyFailures(runs, options);
     return runs.ended >= options.sufficientRuns || length >= options.maximumWindow || state.refusals == 0;
 }
 
@@ -129,9 +133,9 @@
         state.windowStart = now;
     const absl::Duration length = now - state.windowStart;
     updateDependence(state, options, now);
-    if (!isWindowOver(state, options, length))
-        return;
     const DownstreamRuns runs = dependentRuns(state);
+    if (!isWindowOver(state, options, runs, length))
+        return;
     state.quietWindows = state.refusals == 0 ? state.quietWindows + 1 : 0;
     if (state.limit == kUnlimited)
         state.minimum = std::max(1.0, options.minimumShare * state.peakRunning);
