--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,4 +1,4 @@
-// Answers without end from backends in trouble fill the memory of the nodes beside them beyond their limit.
+// An answer without end from a backend in trouble fills the memory of the node beside it beyond its limit.
 #include "fleet.hpp"
 
 #include <csignal>
@@ -8,15 +8,15 @@
 
 namespace {
 
-constexpr int kDeadlineMs = 5000; // Time limit of stock-check
-constexpr int kMemoryMb = 160; // memory_mb of these machines
+constexpr int kDeadlineMs = 6000; // Time limit of ramp-history
+constexpr int kMemoryMb = 260; // memory_mb of the machines
 constexpr int kClientsPerMachine = 6;
-constexpr int kClientIntervalMs = 180; // 200 requests a second in all, 50 for each backend
+constexpr int kClientIntervalMs = 195; // 185 requests a second in all, 46 for each backend
 constexpr int kEpisodes = 4;
 constexpr int kEpisodeMs = 5000; // for_s
-constexpr int kEpisodeEveryMs = 18'000;
-constexpr double kShare = 0.05; // x
-constexpr double kMegabytesPerSecond = 6; // Of one endless answer
+constexpr int kEpisodeEveryMs = 15'000;
+constexpr double kShare = 0.02; // x
+constexpr double kMegabytesPerSecond = 100; // Of one endless answer; the links have 125
 constexpr std::size_t kChunk = 64U << 10;
 
 std::mutex resultMutex;
@@ -73,14 +73,14 @@
     options.root = root;
     options.folder = folder.path();
     options.memoryMb = kMemoryMb;
-    options.services = { "stockview", "stockview", "stockview", "stockview", "wallet", "wallet" };
+    options.services = { "hist-desk", "hist-desk", "hist-desk", "hist-desk", "due-board", "due-board" };
     options.adjustBackend = [](BackendOptions& backend) {
-        backend.slots = 99;
-        backend.workMs = 61;
-        backend.responseBytes = 5000;
+        backend.slots = 121;
+        backend.workMs = 76;
+        backend.responseBytes = 400;
     };
     Fleet fleet(options);
-    fleet.putConfiguration(7, { { "r-stock", "/leny950/", "safe", "stockview", 5000, 1200, 2, 2 } });
+    fleet.putConfiguration(7, { { "r-history", "/leny950/", "safe", "hist-desk", 6000, 1500, 2, 2 } });
     if (!fleet.start())
         return 2;
     std::atomic<bool> isInTrouble { false };
@@ -95,12 +95,13 @@
             const std::vector<std::pair<std::string, std::string>> identity { { "Attempt-Id", attempt },
                 { "Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1" } };
             if (!isInTrouble || ++*count % every != 0)
-                return connection.write(responseBytes(200, identity, answerBody(attempt, 5000)));
+                return connection.write(responseBytes(200, identity, answerBody(attempt, 400)));
             ++endless;
             ++running;
             const std::int64_t begin = nowMs();
             bool isOpen = connection.write("HTTP/1.1 200 X\r\nAttempt-Id: " + attempt
-                + "\r\nResponse-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n");
+                + "\r\nResponse-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            // Bytes that are no chunk: the line of its size never ends.
             const std::string chunk(kChunk, '?');
             for (double written = 0; isOpen; written += kChunk) {
                 isOpen = connection.write(chunk);
@@ -130,7 +131,7 @@
     while (nowMs() < until) {
         const bool isEpisode = nowMs() >= begin && (nowMs() - begin) % kEpisodeEveryMs < kEpisodeMs;
         if (isInTrouble.exchange(isEpisode) != isEpisode && hasTrouble())
-            record(isEpisode ? "two of four backends of stockview are in trouble" : "the trouble has ended");
+            record(isEpisode ? "two of four backends of hist-desk are in trouble" : "the trouble has ended");
         for (std::size_t index = 0; index < fleet.machines().size(); ++index) {
             Machine& machine = *fleet.machines()[index];
             if (restartAt[index] != 0 && nowMs() >= restartAt[index]) {
