--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -1,10 +1,14 @@
 #include "faults.h"
 
+#include "wire-names.h"
+
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 
 #include <array>
 #include <csignal>
 #include <random>
+#include <stdexcept>
 
 namespace jackdawwall::soak {
 namespace {
@@ -20,13 +24,15 @@
 
 class FaultInjector {
 public:
-    FaultInjector(relay::asio::io_context& loop, Fleet& fleet, std::uint64_t seed);
+    FaultInjector(relay::asio::io_context& loop, Fleet& fleet, const FaultOptions& options);
 
     /// Schedules faults over the next `time`; each is logged when it is injected.
     void schedule(absl::Duration time);
     const std::vector<std::string>& log() const { return log_; }
 
 private:
+    using Injection = void (FaultInjector::*)(Member&);
+
     void runAfter(absl::Duration delay, std::function<void()> action);
     void injectRandomFault();
     double randomShare(double min, double max);
@@ -36,7 +42,9 @@
     void pause(Member& member);
     void sendPlannedStop(Member& member);
     void injectLinkFault(Member& member);
+    void silenceConnections(Member& member);
     void injectStoreFault(Member& member);
+    void addForeignEntries(Member& member);
     void stopTarget(Member& member);
     void injectTargetFault(Member& member);
     void killSeveral(Member& member);
@@ -47,15 +55,31 @@
     Fleet& fleet_;
     std::mt19937_64 random_;
     absl::Time startedAt_;
+    std::vector<std::pair<const char*, Injection>> faults_; ///< Faults to draw from, with their names.
     std::vector<std::string> log_;
 };
 
-FaultInjector::FaultInjector(relay::asio::io_context& loop, Fleet& fleet, std::uint64_t seed)
+FaultInjector::FaultInjector(relay::asio::io_context& loop, Fleet& fleet, const FaultOptions& options)
     : loop_(loop)
     , fleet_(fleet)
-    , random_(seed)
+    , random_(options.seed)
     , startedAt_(relay::steadyNow())
 {
+    constexpr std::array<std::pair<const char*, Injection>, 15> kFaults { { { "kill", &FaultInjector::kill },
+        { "pause", &FaultInjector::pause }, { "planned-stop", &FaultInjector::sendPlannedStop },
+        { "planned-stop", &FaultInjector::sendPlannedStop }, { "reload", &FaultInjector::reload },
+        { "link", &FaultInjector::injectLinkFault }, { "silence", &FaultInjector::silenceConnections },
+        { "foreign-entries", &FaultInjector::addForeignEntries },
+        { "store", &FaultInjector::injectStoreFault }, { "target", &FaultInjector::stopTarget },
+        { "misdeed", &FaultInjector::injectTargetFault }, { "misdeed", &FaultInjector::injectTargetFault },
+        { "misdeed", &FaultInjector::injectTargetFault }, { "configuration", &FaultInjector::configure },
+        { "herd", &FaultInjector::killSeveral } } };
+    for (const auto& fault : kFaults) {
+        if (options.only.empty() || absl::c_linear_search(options.only, fault.first))
+            faults_.push_back(fault);
+    }
+    if (faults_.empty())
+        throw std::invalid_argument("no fault has one of the names given");
 }
 
 double FaultInjector::randomShare(double min, double max)
@@ -90,16 +114,8 @@
 
 void FaultInjector::injectRandomFault()
 {
-    using Injection = void (FaultInjector::*)(Member&);
-    constexpr std::array<std::pair<const char*, Injection>, 13> kFaults { { { "kill", &FaultInjector::kill },
-        { "pause", &FaultInjector::pause }, { "planned-stop", &FaultInjector::sendPlannedStop },
-        { "planned-stop", &FaultInjector::sendPlannedStop }, { "reload", &FaultInjector::reload },
-        { "link", &FaultInjector::injectLinkFault }, { "store", &FaultInjector::injectStoreFault },
-        { "target", &FaultInjector::stopTarget }, { "misdeed", &FaultInjector::injectTargetFault },
-        { "misdeed", &FaultInjector::injectTargetFault }, { "misdeed", &FaultInjector::injectTargetFault },
-        { "configuration", &FaultInjector::configure }, { "herd", &FaultInjector::killSeveral } } };
     Member& member = *fleet_.members[random_() % fleet_.members.size()];
-    const auto& [name, injection] = kFaults.at(random_() % kFaults.size());
+    const auto& [name, injection] = faults_.at(random_() % faults_.size());
     log_.push_back(absl::StrCat("at_ms=", absl::ToInt64Milliseconds(relay::steadyNow() - startedAt_),
         " node=", member.name, " trouble=", name));
     (this->*injection)(member);
@@ -159,6 +175,23 @@
     runAfter(time, [&link] { link.setFaults({}); });
 }
 
+/// Silences the open connections of all nodes on one kind of link, for good.
+void FaultInjector::silenceConnections(Member& /*member*/)
+{
+    const std::size_t kind = random_() % kLinkKindCount;
+    for (const auto& each : fleet_.members) {
+        each->links.at(kind)->silenceAll();
+        fleet_.disturb(*each, absl::ZeroDuration());
+        if (kind == static_cast<std::size_t>(LinkKind::ToTarget))
+            each->linkDisturbedUntil = each->disturbedUntil;
+    }
+}
+
+void FaultInjector::addForeignEntries(Member& /*member*/)
+{
+    fleet_.store->addForeignEntries(random_() % 2 == 0 ? platform::kConfigurationKind : platform::kNodeKind);
+}
+
 void FaultInjector::injectStoreFault(Member& /*member*/)
 {
     const absl::Duration time = randomDuration(300, 2500);
@@ -207,9 +240,9 @@
 } // namespace
 
 std::shared_ptr<const std::vector<std::string>> scheduleFaults(
-    relay::asio::io_context& loop, Fleet& fleet, std::uint64_t seed, absl::Duration time)
+    relay::asio::io_context& loop, Fleet& fleet, const FaultOptions& options, absl::Duration time)
 {
-    const auto injector = std::make_shared<FaultInjector>(loop, fleet, seed);
+    const auto injector = std::make_shared<FaultInjector>(loop, fleet, options);
     injector->schedule(time);
     return { injector, &injector->log() };
 }
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -23,6 +23,7 @@
 
 struct SoakOptions {
     FleetOptions fleet;
+    FaultOptions faults;
     int seconds = 10;
     bool skipsTimeLimits = false; ///< Ignores violations of guarantees with a time limit.
 };
@@ -72,7 +73,7 @@
     runFor(loop, kStartTimeout, isReady);
     if (!isReady())
         record.reportViolation("nodes-start", "some nodes did not become ready");
-    const auto faults = scheduleFaults(loop, fleet, options.fleet.seed, absl::Seconds(options.seconds));
+    const auto faults = scheduleFaults(loop, fleet, options.faults, absl::Seconds(options.seconds));
     const auto never = [] { return false; };
     runFor(loop, absl::Seconds(options.seconds), never);
     callers.stop();
@@ -113,10 +114,13 @@
             "s", "seed", "Selects the random faults and calls", false, 1, "N", line);
         TCLAP::ValueArg<int> seconds("t", "seconds", "Duration of the run", false, 10, "S", line);
         TCLAP::SwitchArg untimed("u", "untimed", "Ignores guarantees with a time limit", line);
+        TCLAP::MultiArg<std::string> only(
+            "o", "only", "Injects only this kind of fault; may be repeated", false, "FAULT", line);
         line.parse(argc, argv);
         std::signal(SIGPIPE, SIG_IGN);
         soak::SoakOptions options;
         options.fleet = { program.getValue(), folder.getValue(), seed.getValue() };
+        options.faults = { seed.getValue(), only.getValue() };
         options.seconds = seconds.getValue();
         options.skipsTimeLimits = untimed.getValue();
         return soak::runSeed(options);
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -44,6 +44,8 @@
         }
     }
 
+    void silence() { isSilent_ = true; }
+
     void closeBoth(bool isReset)
     {
         for (Direction& direction : directions_) {
@@ -80,6 +82,8 @@
                     return;
                 if (error && error != asio::error::eof)
                     self->closeBoth(true);
+                else if (self->isSilent_ && !error)
+                    self->read(direction);
                 else
                     self->forward(direction);
             });
@@ -87,7 +91,7 @@
 
     void forward(std::size_t direction)
     {
-        if (isBlocked(direction))
+        if (isBlocked(direction) || isSilent_)
             return;
         directions_[direction].isPending = false;
         directions_[direction].timer.expires_after(absl::ToChronoMicroseconds(proxy_.faults_.delay));
@@ -117,6 +121,7 @@
 
     Proxy& proxy_;
     std::array<Direction, 2> directions_;
+    bool isSilent_ = false;
 };
 
 Proxy::Proxy(asio::io_context& loop, Tcp::acceptor acceptor, Tcp::endpoint destination)
@@ -164,4 +169,10 @@
         connection->closeBoth(true);
 }
 
+void Proxy::silenceAll()
+{
+    for (const auto& connection : connections_)
+        connection->silence();
+}
+
 } // namespace jackdawwall::soak
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -1,5 +1,5 @@
-/// A loopback TCP proxy that injects faults: it delays data, blocks one or both directions and resets
-/// connections.
+/// A loopback TCP proxy that injects faults: it delays data, blocks one or both directions, resets
+/// connections, and silences them.
 #pragma once
 
 #include "relay/message.h"
@@ -33,6 +33,9 @@
     void setFaults(const LinkFaults& faults);
     /// Closes all connections with a TCP reset.
     void resetAll();
+    /// Discards all further data of the connections that are open now, while the kernels go on acknowledging
+    /// it. New connections work.
+    void silenceAll();
 
 private:
     class Connection;
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -16,6 +16,15 @@
 
 constexpr auto kWatchPollInterval = std::chrono::milliseconds(5);
 
+/// Content of foreign entries: too deep, or with numbers or fields that no reader can use.
+std::vector<std::string> foreignContents()
+{
+    constexpr std::size_t kDepth = 5000;
+    return { absl::StrCat(std::string(kDepth, '['), std::string(kDepth, ']')), "1e400",
+        "12345678901234567890123456", R"({"address":"127.0.0.1:99999","service":[]})", R"("text")", "null",
+        R"({"leftTarget":{},"leftStartedAt":-1})" };
+}
+
 Json::Value objectJson(const std::string& name, std::uint64_t revision, const Json::Value& content)
 {
     Json::Value object;
@@ -54,6 +63,28 @@
     objects_[kind][name] = { ++revision_, content };
 }
 
+void Store::addForeignEntries(const std::string& kind)
+{
+    foreignSince_[kind] = ++revision_;
+}
+
+std::string Store::addForeignEntries(std::string reply, const std::string& kind, std::uint64_t after) const
+{
+    const auto found = foreignSince_.find(kind);
+    if (found == foreignSince_.end() || found->second <= after)
+        return reply;
+    std::string entries;
+    for (const std::string& content : foreignContents()) {
+        const std::string object = absl::StrCat(R"({"metadata":{"name":"foreign)", entries.size(),
+            R"(","revision":)", found->second, R"(},"spec":)", content, "}");
+        absl::StrAppend(&entries, R"({"object":)", object, R"(,"deleted":false,)", object.substr(1), ",");
+    }
+    const std::size_t start = reply.find('[') + 1;
+    if (reply[start] == ']')
+        entries.pop_back();
+    return reply.insert(start, entries);
+}
+
 void Store::dropHistory()
 {
     oldestRevision_ = revision_;
@@ -122,7 +153,7 @@
         reply["items"].append(objectJson(name, object.revision, object.content));
     reply["at_rev"] = Json::UInt64(revision_);
     reply["has_more"] = false;
-    return relay::makeJsonResponse(status::ok, canonicalJson(reply));
+    return relay::makeJsonResponse(status::ok, addForeignEntries(canonicalJson(reply), kind, 0));
 }
 
 void Store::watch(const relay::IncomingRequestPtr& incoming, const std::string& kind)
@@ -161,12 +192,17 @@
             return true;
         }
         const Json::Value events = changes(waiting.kind, waiting.after);
-        if (events.empty() && now < waiting.until)
+        const auto foreign = foreignSince_.find(waiting.kind);
+        const bool isUnchanged
+            = events.empty() && (foreign == foreignSince_.end() || foreign->second <= waiting.after);
+        if (isUnchanged && now < waiting.until)
             return false;
         Json::Value reply;
         reply["events"] = events;
         reply["at_rev"] = Json::UInt64(revision_);
-        respond(waiting.incoming, relay::makeJsonResponse(status::ok, canonicalJson(reply)));
+        respond(waiting.incoming,
+            relay::makeJsonResponse(
+                status::ok, addForeignEntries(canonicalJson(reply), waiting.kind, waiting.after)));
         return true;
     });
     timer_.expires_after(kWatchPollInterval);
--- a/soak/store.h
+++ b/soak/store.h
@@ -31,6 +31,8 @@
 
     std::string address() const { return address_; }
     void put(const std::string& kind, const std::string& name, const Json::Value& content);
+    /// Adds the entries of another writer to a kind: valid JSON that this project would never write.
+    void addForeignEntries(const std::string& kind);
     /// Drops the history of changes up to now: watches that start at an earlier revision get 410 (Gone).
     void dropHistory();
 
@@ -54,6 +56,8 @@
     void watch(const relay::IncomingRequestPtr& incoming, const std::string& kind);
     void serveWatches();
     Json::Value changes(const std::string& kind, std::uint64_t after) const;
+    /// Inserts the foreign entries of a kind that changed after a revision at the start of a reply's array.
+    std::string addForeignEntries(std::string reply, const std::string& kind, std::uint64_t after) const;
 
     relay::asio::io_context& loop_;
     std::string address_;
@@ -62,6 +66,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t oldestRevision_ = 1;
     std::map<std::string, std::map<std::string, Object>> objects_;
+    std::map<std::string, std::uint64_t> foreignSince_; ///< By kind; revision of the foreign entries.
     std::list<Watch> watches_;
     relay::HttpListener listener_;
 };
