--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -30,6 +30,14 @@
             toText(labels.outcome), "\",reason=\"", toText(labels.reason), "\"} ", count, "\n");
 }
 
+void appendLabelled(std::string& text, absl::string_view name, absl::string_view help,
+    const absl::btree_map<std::string, std::uint64_t>& counts)
+{
+    absl::StrAppend(&text, "# HELP ", name, " ", help, "\n# TYPE ", name, " counter\n");
+    for (const auto& [labels, count] : counts)
+        absl::StrAppend(&text, name, "{", labels, "} ", count, "\n");
+}
+
 void appendSummary(
     std::string& text, absl::string_view name, absl::string_view help, const TimeSummary& summary)
 {
@@ -81,6 +89,18 @@
     controlBytes_ += sent;
 }
 
+void Metrics::countStoreCall(absl::string_view call, absl::string_view result)
+{
+    const absl::MutexLock lock(&mutex_);
+    ++storeCalls_[absl::StrCat("call=\"", call, "\",result=\"", result, "\"")];
+}
+
+void Metrics::countRejectedRequest(unsigned status)
+{
+    const absl::MutexLock lock(&mutex_);
+    ++rejectedRequests_[absl::StrCat("status=\"", status, "\"")];
+}
+
 std::string Metrics::expose(const std::string& gauges) const
 {
     const absl::MutexLock lock(&mutex_);
@@ -92,6 +112,10 @@
     appendCounter(text, "jackdaw_retries_total", "Attempts sent again.", retries_);
     appendCounter(text, "jackdaw_hedges_total", "Second copies sent beside a slow attempt.", hedges_);
     appendCounter(text, "jackdaw_control_bytes_total", "Bytes of control messages sent.", controlBytes_);
+    appendLabelled(
+        text, "jackdaw_store_calls_total", "Calls to the platform's store, by how they ended.", storeCalls_);
+    appendLabelled(text, "jackdaw_rejected_requests_total",
+        "Requests answered with an error before they were routed, by status.", rejectedRequests_);
     return text + gauges;
 }
 
--- a/src/adapter/metrics.h
+++ b/src/adapter/metrics.h
@@ -4,6 +4,7 @@
 #include "jackdawwall/core.h"
 
 #include "absl/base/thread_annotations.h"
+#include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
@@ -45,6 +46,10 @@
     void countRetry();
     void countHedge();
     void countControlBytes(std::uint64_t sent);
+    /// Counts a call to the platform's store, such as "watch", by its result: "ok" or the name of an error.
+    void countStoreCall(absl::string_view call, absl::string_view result);
+    /// Counts a request that was answered with an error before it was routed.
+    void countRejectedRequest(unsigned status);
 
     /// Returns the text exposition; `gauges` is appended unchanged.
     std::string expose(const std::string& gauges) const;
@@ -57,6 +62,8 @@
     std::uint64_t retries_ ABSL_GUARDED_BY(mutex_) = 0;
     std::uint64_t hedges_ ABSL_GUARDED_BY(mutex_) = 0;
     std::uint64_t controlBytes_ ABSL_GUARDED_BY(mutex_) = 0;
+    absl::btree_map<std::string, std::uint64_t> storeCalls_ ABSL_GUARDED_BY(mutex_); ///< By label text.
+    absl::btree_map<std::string, std::uint64_t> rejectedRequests_ ABSL_GUARDED_BY(mutex_); ///< By label text.
 };
 
 } // namespace jackdawwall
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -40,6 +40,14 @@
 using IncomingRequestPtr = std::shared_ptr<IncomingRequest>;
 using RequestHandler = std::function<void(const IncomingRequestPtr&)>;
 
+/// A request that a listener answered itself because it can't be parsed or exceeds a limit.
+struct RejectedRequest {
+    unsigned status = 0;
+    std::string error;
+    std::string start; ///< First bytes that were not parsed, escaped.
+    asio::ip::address remoteAddress;
+};
+
 struct ListenerLimits {
     std::uint32_t headerBytes = 32U << 10;
     std::uint64_t bodyBytes = 64ULL << 20;
@@ -62,6 +70,9 @@
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
 
+    /// Called for each request that is rejected without the handler; may be empty.
+    std::function<void(const RejectedRequest&)> onRejected;
+
     void setLimits(const ListenerLimits& limits) { limits_ = limits; }
     /// Makes each further response close its connection.
     void startClosing();
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -1,5 +1,7 @@
 #include "relay/http-session.h"
 
+#include "absl/strings/escaping.h"
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -19,6 +21,8 @@
 /// Retry delay for callers whose body exceeds the buffer budget.
 constexpr absl::Duration kBusyRetryAfter = absl::Milliseconds(300);
 constexpr unsigned kPayloadTooLarge = 413;
+/// Bytes of a rejected request that are logged.
+constexpr std::size_t kMaxLoggedBytes = 60;
 
 bool mayRunConcurrently(const IncomingRequest& incoming)
 {
@@ -167,6 +171,12 @@
     incoming->response = makeTextResponse(
         status, text, status == http::status::service_unavailable ? kBusyRetryAfter : absl::ZeroDuration());
     incoming->response->keep_alive(false);
+    if (listener_.onRejected) {
+        const absl::string_view unparsed(
+            static_cast<const char*>(buffer_.data().data()), std::min(buffer_.size(), kMaxLoggedBytes));
+        listener_.onRejected(
+            { static_cast<unsigned>(status), std::string(text), absl::CHexEscape(unparsed), remoteAddress_ });
+    }
     parser_.reset();
     hasPartialRequest_ = false;
     isEnding_ = true;
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -18,6 +18,14 @@
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kReplyTimeout = absl::Milliseconds(1500);
 
+/// Why an update counts as not answered.
+absl::string_view missCause(const ExchangeResult& result)
+{
+    if (result.isTimedOut)
+        return "timeout";
+    return result.status == ExchangeStatus::Complete ? "unreadable" : "disconnected";
+}
+
 } // namespace
 
 PeerLink::PeerLink(RelayState& state, PeerLinkEvents events)
@@ -106,7 +114,9 @@
     std::string sender;
     if (result.status != ExchangeStatus::Complete || !applyMessage(result.response.body(), sender)) {
         if (recordMissedHeartbeat(state_.decisions.membership, address, steadyNow())) {
-            logEvent(LogLevel::Info, "member-changed", { { "member", address }, { "status", "suspect" } });
+            logEvent(LogLevel::Info, "member-changed",
+                { { "member", address }, { "status", "suspect" }, { "cause", missCause(result) },
+                    { "reused_connection", result.isReusedConnection } });
             membersChanged(state_);
         }
         return;
@@ -180,7 +190,7 @@
     events_.onPreviousLeave(left);
     merge(reported);
     if (!message->configuration.empty())
-        events_.onConfiguration(message->configuration);
+        events_.onConfiguration(message->configuration, sender);
     return true;
 }
 
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -12,8 +12,8 @@
 
 /// Calls back into the node.
 struct PeerLinkEvents {
-    /// Another node sent a newer configuration.
-    std::function<void(const std::string& document)> onConfiguration;
+    /// The node at `sender` sent a newer configuration.
+    std::function<void(const std::string& document, const std::string& sender)> onConfiguration;
     /// Another node replied with the last leave that an earlier process of this node acknowledged; empty if
     /// there was none.
     std::function<void(const std::optional<Lifetime>& left)> onPreviousLeave;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -64,10 +64,12 @@
     , port_(std::move(port))
     , callerGate_(state_, std::move(interface))
     , peerLink_(state_,
-          { [this](const std::string& document) { onConfiguration(document); },
+          { [this](const std::string& document, const std::string& sender) {
+               onConfiguration(document, sender);
+           },
               [this](const std::optional<Lifetime>& left) { onPreviousLeave(left); } })
     , storeSync_(state_, port_,
-          { [this](const std::string& document) { onConfiguration(document); },
+          { [this](const std::string& document) { onConfiguration(document, "store"); },
               [this](const std::vector<Member>& members) { peerLink_.addMembers(members); },
               [this](const std::optional<Lifetime>& left) { onPreviousLeave(left); },
               [this](StoreRevision revision) { onRegistered(revision); },
@@ -85,6 +87,7 @@
         if (acceptor)
             listener.emplace(loop, *std::move(acceptor), std::move(handler)).setLimits(internalPortLimits());
     };
+    callerListener_.onRejected = [this](const RejectedRequest& rejected) { recordRejectedRequest(rejected); };
     openListener(readyListener_, ports.ready,
         [this](const IncomingRequestPtr& incoming) { onReadyRequest(incoming); });
     openListener(heartbeatListener_, ports.heartbeats,
@@ -167,6 +170,15 @@
     callerGate_.accept(incoming);
 }
 
+void RelayNode::recordRejectedRequest(const RejectedRequest& rejected)
+{
+    state_.metrics.countRejectedRequest(rejected.status);
+    state_.requestLog.record("request-rejected", "", false,
+        { { "status", rejected.status }, { "error", rejected.error },
+            { "remote", rejected.remoteAddress.to_string() }, { "start", rejected.start },
+            { "config", state_.configuration.version } });
+}
+
 void RelayNode::onPeerRequest(const IncomingRequestPtr& incoming)
 {
     if (!headerValue(incoming->request, kMembershipUpdateHeader).empty()) {
@@ -225,7 +237,7 @@
             makeTextResponse(http::status::bad_request, absl::StrCat(document.status().message(), "\n")));
         return;
     }
-    const bool isAccepted = onConfiguration(*document);
+    const bool isAccepted = onConfiguration(*document, "operator");
     incoming->respond(makeTextResponse(isAccepted ? http::status::ok : http::status::unprocessable_entity,
         absl::StrCat(state_.configuration.version, "\n")));
 }
@@ -320,11 +332,12 @@
     peerLink_.announce();
 }
 
-bool RelayNode::onConfiguration(const std::string& document)
+bool RelayNode::onConfiguration(const std::string& document, absl::string_view source)
 {
     absl::StatusOr<Configuration> decoded = port_.decodeConfiguration(document);
     if (!decoded.ok()) {
-        logEvent(LogLevel::Warning, "configuration-refused", { { "error", decoded.status().message() } });
+        logEvent(LogLevel::Warning, "configuration-refused",
+            { { "source", source }, { "error", decoded.status().message() } });
         return false;
     }
     if (isSafeguardDisabled("configurations") && state_.configuration.version > 0)
@@ -332,7 +345,7 @@
     if (decoded->version <= state_.configuration.version)
         return true;
     logEvent(LogLevel::Info, "configuration-applied",
-        { { "version", decoded->version }, { "before", state_.configuration.version },
+        { { "version", decoded->version }, { "before", state_.configuration.version }, { "source", source },
             { "bytes", document.size() } });
     if (decoded->limits) {
         ListenerLimits limits;
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -31,9 +31,9 @@
     void reload(const RelaySettings& newSettings);
     /// Adds a peer before any message from it has arrived.
     void addPeer(const std::string& peerAddress);
-    /// Applies a configuration document if it is newer and announces it to other nodes. False if it is
-    /// invalid.
-    bool onConfiguration(const std::string& document);
+    /// Applies a configuration document if it is newer and announces it to other nodes. `source`, for the
+    /// log: "store", "operator" or the address of a node. False if it is invalid.
+    bool onConfiguration(const std::string& document, absl::string_view source);
 
     /// Begins a planned stop: rejects new callers, completes the requests in progress, then ends the loop.
     void stop();
@@ -55,6 +55,7 @@
         CallInterface interface);
 
     std::size_t maxCallerSessions() const;
+    void recordRejectedRequest(const RejectedRequest& rejected);
     void onCallerRequest(const IncomingRequestPtr& incoming);
     void onPeerRequest(const IncomingRequestPtr& incoming);
     void onReadyRequest(const IncomingRequestPtr& incoming) const;
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -90,6 +90,21 @@
     });
 }
 
+void StoreSync::recordCall(absl::string_view call, absl::Time startedAt, const absl::Status& status)
+{
+    const absl::Time now = steadyNow();
+    state_.metrics.countStoreCall(call, status.ok() ? "ok" : absl::StatusCodeToString(status.code()));
+    if (status.ok()) {
+        lastResponseAt_ = now;
+        return;
+    }
+    logEvent(LogLevel::Warning, "store-call-failed",
+        { { "call", call }, { "error", status.ToString() },
+            { "after_ms", absl::ToInt64Milliseconds(now - startedAt) },
+            { "since_response_ms", absl::ToInt64Milliseconds(now - lastResponseAt_) },
+            { "config", state_.configuration.version } });
+}
+
 void StoreSync::recordFailure(const absl::Status& status)
 {
     if (storeFailures_++ == 0)
@@ -140,7 +155,8 @@
 
 void StoreSync::registerNode()
 {
-    putNodeRecord([this](absl::StatusOr<StoredItem> stored) {
+    putNodeRecord([this, startedAt = steadyNow()](absl::StatusOr<StoredItem> stored) {
+        recordCall("register", startedAt, stored.status());
         if (!stored.ok()) {
             retryLater(nodeFailures_, stored.status(), [this] { registerNode(); });
             return;
@@ -165,7 +181,8 @@
 {
     const bool mayBeStale = staleReads < kMaxStaleReads;
     port_.store.list(port_.nodeKind, mayBeStale ? ReadConsistency::Stale : ReadConsistency::Latest,
-        [this, staleReads](const absl::StatusOr<StoreListing>& listing) {
+        [this, staleReads, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+            recordCall("list-nodes", startedAt, listing.status());
             if (!listing.ok()) {
                 retryLater(nodeFailures_, listing.status(), [this, staleReads] { listNodes(staleReads); });
                 return;
@@ -192,7 +209,8 @@
 
 void StoreSync::recordLeave(const std::function<void()>& onStored)
 {
-    putNodeRecord([this, onStored](const absl::StatusOr<StoredItem>& result) {
+    putNodeRecord([this, onStored, startedAt = steadyNow()](const absl::StatusOr<StoredItem>& result) {
+        recordCall("record-leave", startedAt, result.status());
         if (!result.ok()) {
             retryLater(nodeFailures_, result.status(), [this, onStored] { recordLeave(onStored); });
             return;
@@ -228,7 +246,8 @@
 void StoreSync::listConfiguration()
 {
     port_.store.list(port_.configurationKind, ReadConsistency::Latest,
-        [this](const absl::StatusOr<StoreListing>& listing) {
+        [this, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+            recordCall("list-configuration", startedAt, listing.status());
             nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
             if (!listing.ok()) {
                 retryLater(configurationFailures_, listing.status(), [this] { followConfiguration(); });
@@ -246,7 +265,8 @@
         return;
     }
     port_.store.watch(port_.configurationKind, after, kMaxWatchTime,
-        [this, after](const absl::StatusOr<StoreListing>& listing) {
+        [this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+            recordCall("watch", startedAt, listing.status());
             if (listing.ok()) {
                 onListing(*listing);
                 watchConfiguration(std::max(after, listing->revision));
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -47,6 +47,8 @@
     void putNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done);
     /// Runs `attempt` after a delay that grows with each consecutive failure.
     void retryLater(int& failures, const absl::Status& status, std::function<void()> attempt);
+    /// Logs and counts the result of a call to the store, such as "watch", that began at `startedAt`.
+    void recordCall(absl::string_view call, absl::Time startedAt, const absl::Status& status);
     void runAfter(absl::Duration delay, std::function<void()> step);
     void recordSuccess(StoreRevision revision);
     void recordFailure(const absl::Status& status);
@@ -61,6 +63,7 @@
     int nodeFailures_ = 0; ///< Consecutive, as the two counters below.
     int configurationFailures_ = 0;
     int storeFailures_ = 0; ///< Of all calls to the store.
+    absl::Time lastResponseAt_ = steadyNow(); ///< Of the store to any call, or the start of this object.
     bool isFollowing_ = false;
     /// When a node without a configuration reads it from the store, even if it is no watcher.
     absl::Time nextFallbackRead_ = absl::InfinitePast();
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -46,6 +46,7 @@
     exchange_ = std::move(exchange);
     done_ = std::move(done);
     strayResponses_ = 0;
+    ++exchanges_;
     if (isConnected_)
         write();
     else
@@ -180,7 +181,7 @@
     const auto self = shared_from_this();
     timer_.cancel();
     const ExchangeCallback done = std::exchange(done_, nullptr);
-    ExchangeResult result { status, std::move(response_), false };
+    ExchangeResult result { status, std::move(response_), false, exchanges_ > 1 };
     response_ = {};
     parser_.reset();
     exchange_ = {};
@@ -262,9 +263,10 @@
     pending->timer.async_wait([pending, connection](beast::error_code error) {
         if (error || !pending->done)
             return;
-        connection->cancel();
         ExchangeResult timedOut;
         timedOut.isTimedOut = true;
+        timedOut.isReusedConnection = connection->exchanges_ > 1;
+        connection->cancel();
         std::exchange(pending->done, nullptr)(std::move(timedOut));
     });
     return connection;
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -27,6 +27,7 @@
     ExchangeStatus status = ExchangeStatus::Lost;
     Response response;
     bool isTimedOut = false; ///< The exchange was aborted at its time limit.
+    bool isReusedConnection = false; ///< The connection had carried an earlier exchange.
 };
 
 struct ExchangeRequest {
@@ -85,6 +86,7 @@
     bool isClosed_ = false;
     bool isReusable_ = true;
     int strayResponses_ = 0;
+    int exchanges_ = 0; ///< Started on this connection.
     absl::Time idleSince_;
     absl::Duration keepAlive_ = absl::InfiniteDuration(); ///< Idle timeout that the server announced.
 };
--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -129,7 +129,7 @@
     }
     bool applyDocument(const std::string& text, CatalogueVersion version)
     {
-        return node.onConfiguration(packCatalogue({ "catalogue", text, version }));
+        return node.onConfiguration(packCatalogue({ "catalogue", text, version }), "operator");
     }
 
     relay::RelayNode node;
