--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -78,12 +78,14 @@
     std::vector<Request> requests;
     int connectionsOpened = 0;
     int connectionsClosedByPeer = 0;
+    int latestConnection = 0; ///< Number of the connection of the latest request, from 1.
 
 private:
     struct Connection : std::enable_shared_from_this<Connection> {
         Connection(ScriptedTarget& target, Tcp::socket accepted)
             : owner(target)
             , socket(std::move(accepted))
+            , number(target.connectionsOpened)
         {
         }
 
@@ -102,6 +104,7 @@
                 owner.connectionsClosedByPeer += error == asio::error::operation_aborted ? 0 : 1;
                 return;
             }
+            owner.latestConnection = number;
             owner.requests.push_back(parser->release());
             const Request request = owner.requests.back();
             read(); // Detects a caller that disconnects before the response is sent.
@@ -125,6 +128,7 @@
 
         ScriptedTarget& owner;
         Tcp::socket socket;
+        const int number;
         beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         std::string unsentBytes;
@@ -395,4 +399,27 @@
     return request;
 }
 
+/// A node with one scripted target, ready to serve.
+struct OneNode {
+    OneNode(const std::string& configuration, const ScriptedTarget::Script& script)
+        : target(loop, script)
+        , node(loop, store, "n1", "books", target.address())
+    {
+        store.set("configuration", "main", configuration);
+        node.start();
+        node.awaitReady();
+        BOOST_REQUIRE_EQUAL(node.heartbeat("/ready/t1/100/1"), 200U);
+    }
+
+    ExchangeResult call(http::verb method, const std::string& path, const std::string& id)
+    {
+        return node.sendAndWait(node.settings.callerAddress, callerRequest(method, path, id));
+    }
+
+    asio::io_context loop;
+    MemoryStore store { loop };
+    ScriptedTarget target;
+    TestNode node;
+};
+
 } // namespace jackdawwall::relay::test
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -22,29 +22,6 @@
         false };
 }
 
-/// A node with one scripted target, ready to serve.
-struct OneNode {
-    explicit OneNode(const ScriptedTarget::Script& script)
-        : target(loop, script)
-        , node(loop, store, "n1", "books", target.address())
-    {
-        store.set("configuration", "main", kRoutes);
-        node.start();
-        node.awaitReady();
-        BOOST_REQUIRE_EQUAL(node.heartbeat("/ready/t1/100/1"), 200U);
-    }
-
-    ExchangeResult call(http::verb method, const std::string& path, const std::string& id)
-    {
-        return node.sendAndWait(node.settings.callerAddress, callerRequest(method, path, id));
-    }
-
-    asio::io_context loop;
-    MemoryStore store { loop };
-    ScriptedTarget target;
-    TestNode node;
-};
-
 /// A node with a target, and a node of another service that forwards calls to it.
 struct TwoNodes {
     TwoNodes()
@@ -130,7 +107,7 @@
 
 BOOST_DATA_TEST_CASE(classifiesResponsesOfATarget, boost::unit_test::data::make(kResponseCases), responseCase)
 {
-    OneNode one([&](const Request& request) {
+    OneNode one(kRoutes, [&](const Request& request) {
         return TargetResponse { withId(responseCase.bytes, request), responseCase.closesConnection,
             responseCase.resetsConnection };
     });
@@ -144,7 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(discardsASecondResponse)
 {
-    OneNode one([](const Request& request) {
+    OneNode one(kRoutes, [](const Request& request) {
         return TargetResponse { sealedResponse(request, "one") + sealedResponse(request, "two"), false,
             false };
     });
@@ -155,7 +132,7 @@
 
 BOOST_AUTO_TEST_CASE(countsCallOutcomesInMetrics)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     one.call(http::verb::get, "/read/1", "r1");
     one.node.heartbeat("/draining/t1/100/2");
     one.call(http::verb::get, "/read/1", "r2");
@@ -171,7 +148,7 @@
 
 BOOST_AUTO_TEST_CASE(sendsRequestAndContextToTheTarget)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     Request request = callerRequest(http::verb::post, "/book/1?x=%20", "r1", "some body");
     request.set("X-Own", "kept");
     request.set("Jackdaw-Caller", "forged");
@@ -193,7 +170,7 @@
 BOOST_AUTO_TEST_CASE(respondsToPipelinedRequestsInOrder)
 {
     int seen = 0;
-    OneNode one(
+    OneNode one(kRoutes,
         [&](const Request& request) { // The first gets no response and times out, while the second gets one.
             return ++seen == 1 ? std::optional<TargetResponse>() : respondOk(request);
         });
@@ -220,7 +197,7 @@
 
 BOOST_AUTO_TEST_CASE(closesTargetConnectionWhenTheCallerDisconnects)
 {
-    OneNode one([](const Request&) { return std::optional<TargetResponse>(); });
+    OneNode one(kRoutes, [](const Request&) { return std::optional<TargetResponse>(); });
     const auto result
         = one.node.send(one.node.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r1"));
     runUntil(one.loop, [&] { return one.target.requests.size() == 1; });
@@ -230,7 +207,7 @@
 
 BOOST_AUTO_TEST_CASE(appliesTheRouteTimeout)
 {
-    OneNode one([](const Request&) { return std::optional<TargetResponse>(); });
+    OneNode one(kRoutes, [](const Request&) { return std::optional<TargetResponse>(); });
     BOOST_TEST(one.call(http::verb::get, "/short/1", "r1").response.result_int() == 504U);
     BOOST_TEST(one.target.connectionsClosedByPeer == 1);
 }
@@ -253,7 +230,7 @@
 
 BOOST_AUTO_TEST_CASE(ignoresOlderConfigurations)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     one.store.set("configuration", "main", "4;read a.example /read/ nobody safe 3000 1");
     one.store.set("configuration", "main", "6;read a.example /other/ books safe 3000 1");
     runUntil(
@@ -266,7 +243,7 @@
 
 BOOST_AUTO_TEST_CASE(sendsNoNewWorkToALeavingTarget)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     BOOST_TEST(one.call(http::verb::get, "/read/1", "r1").response.result_int() == 200U);
     BOOST_TEST(one.node.heartbeat("/draining/t1/100/2") == 200U);
     const ExchangeResult result = one.call(http::verb::post, "/book/1", "r2");
@@ -281,7 +258,7 @@
 
 BOOST_AUTO_TEST_CASE(acknowledgesALeaveOnlyOnceItIsStoredElsewhere)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     one.store.isUnavailable = true;
     const auto result = one.node.send(
         one.node.settings.heartbeatAddress, Request { http::verb::post, "/leave/t1/100/0", 11 });
@@ -296,7 +273,7 @@
 
 BOOST_AUTO_TEST_CASE(remembersALeaveAfterARestart)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     BOOST_TEST(one.node.heartbeat("/leave/t1/100/0") == 200U);
     one.node.node.reset();
     one.node.start();
@@ -311,7 +288,7 @@
 
 BOOST_AUTO_TEST_CASE(completesCallsInFlightAndReportsNotReadyOnAPlannedStop)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     const auto result
         = one.node.send(one.node.settings.callerAddress, callerRequest(http::verb::post, "/book/1", "r1"));
     one.node.node->stop();
@@ -336,7 +313,7 @@
 
 BOOST_AUTO_TEST_CASE(refusesCallersWhenTheLoopWasBlockedDuringAStop)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     one.node.node.reset();
     one.node.settings.callerDrainTime = absl::Milliseconds(50);
     one.node.start();
@@ -350,7 +327,7 @@
 
 BOOST_AUTO_TEST_CASE(respondsToPendingCallsAtTheEndOfAStop)
 {
-    OneNode one([](const Request&) { return std::optional<TargetResponse>(); });
+    OneNode one(kRoutes, [](const Request&) { return std::optional<TargetResponse>(); });
     one.node.node.reset();
     one.node.settings.stopTime = absl::Seconds(1);
     one.node.start();
@@ -416,7 +393,7 @@
 
 BOOST_AUTO_TEST_CASE(refusesABodyThatExceedsTheMemoryBoundBeforeReadingIt)
 {
-    OneNode one(respondOk);
+    OneNode one(kRoutes, respondOk);
     RelaySettings changed = one.node.settings;
     changed.memoryBytes = 1000;
     one.node.node->reload(changed);
