RelayNode reads its ports back reliably; tests let the kernel choose them

Causes: RelayNode's constructor passed the settings by value beside the object that writes the bound ports into them, and the order of these two is unspecified; the fixture of the routed nodes released a port before the node bound it. Class of fault: a value is read while another argument changes it; a port is named instead of handed over.

The settings now travel inside the object that binds the ports. The fixture passes port 0 and reads the ports from the node.

--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -35,8 +35,9 @@
 
 } // namespace
 
-RelayNode::Ports::Ports(asio::io_context& loop, RelaySettings& settings)
-    : callers(openAcceptor(loop, settings.callerAddress))
+RelayNode::Ports::Ports(asio::io_context& loop, RelaySettings nodeSettings)
+    : settings(std::move(nodeSettings))
+    , callers(openAcceptor(loop, settings.callerAddress))
     , peers(openAcceptor(loop, settings.peerAddress))
 {
     settings.callerAddress = localAddress(callers);
@@ -53,14 +54,13 @@
 
 RelayNode::RelayNode(
     asio::io_context& loop, RelaySettings settings, PlatformPort port, CallInterface interface)
-    : RelayNode(loop, settings, Ports(loop, settings), std::move(port), std::move(interface))
+    : RelayNode(loop, Ports(loop, std::move(settings)), std::move(port), std::move(interface))
 {
 }
 
-RelayNode::RelayNode(
-    asio::io_context& loop, RelaySettings settings, Ports ports, PlatformPort port, CallInterface interface)
+RelayNode::RelayNode(asio::io_context& loop, Ports ports, PlatformPort port, CallInterface interface)
     : loop_(loop)
-    , state_(loop, std::move(settings))
+    , state_(loop, std::move(ports.settings))
     , port_(std::move(port))
     , callerGate_(state_, std::move(interface))
     , peerLink_(state_,
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -42,8 +42,9 @@
     /// Acceptors of all ports. Opened before the other members are constructed, as these need the port
     /// numbers that the kernel may choose.
     struct Ports {
-        Ports(asio::io_context& loop, RelaySettings& settings);
+        Ports(asio::io_context& loop, RelaySettings nodeSettings);
 
+        RelaySettings settings; ///< With the port numbers that were bound.
         Tcp::acceptor callers;
         Tcp::acceptor peers;
         std::optional<Tcp::acceptor> ready;
@@ -51,8 +52,7 @@
         std::optional<Tcp::acceptor> operators;
     };
 
-    RelayNode(asio::io_context& loop, RelaySettings settings, Ports ports, PlatformPort port,
-        CallInterface interface);
+    RelayNode(asio::io_context& loop, Ports ports, PlatformPort port, CallInterface interface);
 
     std::size_t maxCallerSessions() const;
     void recordRejectedRequest(const RejectedRequest& rejected);
--- a/test/foreign-entries-test.cc
+++ b/test/foreign-entries-test.cc
@@ -47,7 +47,7 @@
     TestNode& add(const std::string& name)
     {
         clients.push_back(std::make_unique<platform::ObjectStore>(loop, server.address()));
-        nodes.push_back(std::make_unique<TestNode>(loop, unused, name, "books", freeAddress(loop)));
+        nodes.push_back(std::make_unique<TestNode>(loop, unused, name, "books", kUnusedAddress));
         TestNode& added = *nodes.back();
         added.port.store = clients.back()->port();
         added.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -296,12 +296,10 @@
     return message;
 }
 
-/// A local address with a port that the kernel chose and that is free again.
-inline std::string freeAddress(asio::io_context& loop)
-{
-    Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port());
-}
+/// An address of the target that refuses connections.
+inline constexpr char kUnusedAddress[] = "127.0.0.1:1";
+/// An address whose port the kernel chooses.
+inline constexpr char kAnyAddress[] = "127.0.0.1:0";
 
 /// A node with its settings, and a client that sends requests to its ports.
 class TestNode {
@@ -314,11 +312,11 @@
         settings.process = name;
         settings.service = service;
         settings.dataCentre = "here";
-        settings.callerAddress = freeAddress(loop);
-        settings.peerAddress = freeAddress(loop);
-        settings.readyAddress = freeAddress(loop);
-        settings.heartbeatAddress = freeAddress(loop);
-        settings.operatorAddress = freeAddress(loop);
+        settings.callerAddress = kAnyAddress;
+        settings.peerAddress = kAnyAddress;
+        settings.readyAddress = kAnyAddress;
+        settings.heartbeatAddress = kAnyAddress;
+        settings.operatorAddress = kAnyAddress;
         settings.targetAddress = targetAddress;
         settings.gossipInterval = absl::Milliseconds(50);
         settings.stopTime = absl::Seconds(6);
@@ -338,7 +336,13 @@
         port.decodeTargetMessage = targetMessageFromPath;
     }
 
-    void start() { node = std::make_unique<RelayNode>(loop_, settings, port, routedInterface()); }
+    /// Starts the node. From the first start on, the settings hold the ports that were bound, so that a
+    /// restarted node has the same addresses.
+    void start()
+    {
+        node = std::make_unique<RelayNode>(loop_, settings, port, routedInterface());
+        settings = node->settings();
+    }
 
     /// Sends a request. The returned result is empty until the exchange ends.
     std::shared_ptr<std::optional<ExchangeResult>> send(const std::string& address, Request request)
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -48,7 +48,7 @@
     MemoryStore store { loop };
     ScriptedTarget target { loop, respondOk };
     TestNode serving { loop, store, "n1", "books", target.address() };
-    TestNode forwarding { loop, store, "n2", "shop", freeAddress(loop) };
+    TestNode forwarding { loop, store, "n2", "shop", kUnusedAddress };
 };
 
 struct ResponseCase {
@@ -217,7 +217,7 @@
     asio::io_context loop;
     MemoryStore store(loop);
     store.isUnavailable = true;
-    TestNode node(loop, store, "n1", "books", freeAddress(loop));
+    TestNode node(loop, store, "n1", "books", kUnusedAddress);
     node.start();
     BOOST_TEST(node.ready() == 503U);
     const Request request = callerRequest(http::verb::get, "/nowhere/1", "r1");
--- a/test/silent-connection-test.cc
+++ b/test/silent-connection-test.cc
@@ -60,7 +60,7 @@
     HttpStore server(loop);
     platform::ObjectStore client(loop, server.address());
     MemoryStore unused(loop);
-    TestNode node(loop, unused, "n1", "books", freeAddress(loop));
+    TestNode node(loop, unused, "n1", "books", kUnusedAddress);
     node.port.store = client.port();
     node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
         std::vector<Finding> findings;
--- a/test/store-sync-test.cc
+++ b/test/store-sync-test.cc
@@ -22,8 +22,8 @@
     {
         store.set("configuration", "main", kVersion5);
         for (std::size_t index = 0; index < size; ++index) {
-            nodes.push_back(std::make_unique<TestNode>(
-                loop, store, absl::StrCat("n", index), "books", freeAddress(loop)));
+            nodes.push_back(
+                std::make_unique<TestNode>(loop, store, absl::StrCat("n", index), "books", kUnusedAddress));
             nodes.back()->settings.watchers = 1;
             turnAwayWhenMarked(nodes.back()->port.store, index);
         }
