An entry of another writer no longer holds up the configuration

What callers saw: after one odd entry in the store no later version came into force (404 on added routes), or a node ended again and again.

Cause: a reply of the store was parsed whole, so an entry that is nested too deeply, has a number such as 1e400, a key twice or half a surrogate pair made all others unreadable; and what another writer had put in place of a node's own record was decoded outside any handler (Json::LogicError ended the process). Class of fault: the failure of one part is taken for the failure of the whole.

A node's record is valid whole or ignored, with a log line; one that replaced the own record leaves the history unknown. jsoncpp has no way to skip a value, and RapidJSON refuses half a surrogate pair in the whole text.

--- a/fuzz/decode-fuzz.cc
+++ b/fuzz/decode-fuzz.cc
@@ -2,6 +2,7 @@
 // between nodes, and callers' headers. The first byte selects the decoder. Decoded values are passed to the
 // code that uses them, so that out-of-range values are detected as well.
 #include "decode.h"
+#include "listing.h"
 #include "node/catalogue-interface.h"
 #include "relay/hop-wire.h"
 #include "relay/peer-message.h"
@@ -34,6 +35,12 @@
     }
 }
 
+void fuzzListing(const std::string& text)
+{
+    static_cast<void>(platform::decodeListing(text).ok());
+    static_cast<void>(platform::decodeObject(text).ok());
+}
+
 void fuzzTargetMessage(const std::string& text)
 {
     relay::Request request { relay::http::verb::post, absl::StrCat("/x?", platform::kHeartbeatQuery, "t1"),
@@ -100,7 +107,7 @@
 // NOLINTNEXTLINE(readability-identifier-naming): libFuzzer requires this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
-    constexpr std::uint8_t kDecoderCount = 6;
+    constexpr std::uint8_t kDecoderCount = 7;
     if (size == 0)
         return 0;
     const std::string text(reinterpret_cast<const char*>(data + 1), size - 1);
@@ -120,8 +127,11 @@
     case 4:
         fuzzResult(text);
         break;
-    default:
+    case 5:
         fuzzCatalogue(text);
+        break;
+    default:
+        fuzzListing(text);
     }
     return 0;
 }
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -21,7 +21,7 @@
 struct StoredItem {
     std::string name;
     StoreRevision revision = 0; ///< Revision of its last change.
-    std::string content; ///< JSON text.
+    std::string content; ///< JSON text, not validated.
     bool isDeleted = false;
 };
 
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace jackdawwall::relay {
 namespace {
@@ -27,39 +28,31 @@
 constexpr absl::Duration kMaxRetryDelay = absl::Seconds(1);
 constexpr int kMaxDoublings = 6;
 
-std::optional<Lifetime> decodeLeftLifetime(const Json::Value& value)
-{
-    const std::string id = value.get("leftTarget", "").asString();
-    if (id.empty())
-        return std::nullopt;
-    return Lifetime { id, value.get("leftStartedAt", 0).asUInt64() };
-}
-
+/// Decodes a node's record; logs and returns nothing if any part of it is invalid.
 std::optional<Member> decodeMember(const StoredItem& item)
 {
     std::vector<Finding> findings;
-    const auto value = parseJson({ item.name, item.content, &findings });
-    if (item.isDeleted || !value || !value->isObject())
-        return std::nullopt;
-    try {
-        Member member;
-        member.peerAddress = value->get("address", "").asString();
-        member.service = value->get("service", "").asString();
-        member.dataCentre = value->get("dataCentre", "").asString();
-        member.operatorAddress = value->get("operator", "").asString();
-        member.incarnation = item.revision;
-        member.isServing = false; // Until its first message reports a ready target.
-        if (const auto left = decodeLeftLifetime(*value)) {
-            member.leftTarget = left->id;
-            member.leftStartedAt = left->startedAt;
-        }
-        if (isAddress(member.peerAddress))
-            return member;
-    } catch (const Json::Exception& error) {
+    const JsonSource source { item.name, item.content, &findings };
+    const auto value = parseJson(source);
+    Member member;
+    if (value) {
+        JsonReader reader(source, *value, "");
+        member.peerAddress = reader.address("address", "");
+        member.service = reader.text("service", "");
+        member.dataCentre = reader.text("dataCentre", "");
+        member.operatorAddress = reader.text("operator", "");
+        member.leftTarget = reader.text("leftTarget", "");
+        member.leftStartedAt = static_cast<std::uint64_t>(
+            reader.integer("leftStartedAt", 0, 0, std::numeric_limits<std::int64_t>::max()));
+    }
+    if (!findings.empty()) {
         logEvent(LogLevel::Warning, "node-record-unreadable",
-            { { "name", item.name }, { "error", error.what() } });
+            { { "name", item.name }, { "revision", item.revision }, { "error", formatFindings(findings) } });
+        return std::nullopt;
     }
-    return std::nullopt;
+    member.incarnation = item.revision;
+    member.isServing = false; // Until its first message reports a ready target.
+    return member;
 }
 
 } // namespace
@@ -164,19 +157,27 @@
         nodeFailures_ = 0;
         recordSuccess(stored->revision);
         registeredRevision_ = stored->revision;
-        std::vector<Finding> findings;
-        const auto previous = parseJson({ stored->name, stored->content, &findings });
-        events_.onPreviousLeave(
-            previous && previous->isObject() ? decodeLeftLifetime(*previous) : std::nullopt);
-        events_.onRegistered(stored->revision);
-        // If nodes share a record, the replaced content describes another node.
-        if (const auto replaced = decodeMember({ stored->name, 0, stored->content, false });
-            replaced && replaced->peerAddress != state_.decisions.membership.self)
-            events_.onMembers({ *replaced });
+        applyPreviousRecord(*stored);
         listNodes(0);
     });
 }
 
+/// Applies the record that the registration replaced. One that can't be decoded leaves the history unknown.
+void StoreSync::applyPreviousRecord(const StoredItem& stored)
+{
+    const bool isFirst = stored.content.empty();
+    const auto previous = isFirst ? std::nullopt : decodeMember({ stored.name, 0, stored.content, false });
+    std::optional<Lifetime> left;
+    if (previous && !previous->leftTarget.empty())
+        left = Lifetime { previous->leftTarget, previous->leftStartedAt };
+    if (isFirst || previous)
+        events_.onPreviousLeave(left);
+    events_.onRegistered(stored.revision);
+    // If nodes share a record, the replaced content describes another node.
+    if (previous && previous->peerAddress != state_.decisions.membership.self)
+        events_.onMembers({ *previous });
+}
+
 void StoreSync::listNodes(int staleReads)
 {
     const bool mayBeStale = staleReads < kMaxStaleReads;
@@ -197,7 +198,7 @@
 {
     std::vector<Member> members;
     for (const StoredItem& item : listing.items) {
-        const auto member = decodeMember(item);
+        const auto member = item.isDeleted ? std::nullopt : decodeMember(item);
         if (member && member->peerAddress != state_.decisions.membership.self)
             members.push_back(*member);
     }
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -32,6 +32,7 @@
 
 private:
     void registerNode();
+    void applyPreviousRecord(const StoredItem& stored);
     /// Lists the nodes with stale reads until one is as recent as this node's registration. Of two nodes, the
     /// one that registers later then knows the other.
     void listNodes(int staleReads);
