A silent connection no longer hides a change of the configuration

What callers saw: requests on routes that had been added or moved were answered by an older version for seconds (404 on added routes), after connections had fallen silent while new ones worked.

Cause: nothing but the end of a watch shows that its connection is silent, and a watch lasted up to 10 s, with 1.5 s more for the response. All watchers began theirs at the same time, so all were blind at once; the connection taken next could be another silent one from the pool. Between nodes, an update on a silent connection held up the next ones for 1.5 s and made a sound member suspect. Class of fault: a kept connection is taken for alive until the longest wait on it is over.

Why this works: planWatch (pure) lets the watchers renew in turn, a quarter of the apply time apart, and takes a connection for silent another quarter later, so one of them notices within half of the apply time. That is proved in virtual time for 1 to 196 nodes and apply times of 2 to 60 s, with the number of calls bounded. A timeout closes the idle connections that carried no response since the exchange began, for the store, other nodes and targets alike. Idempotent control exchanges are repeated once on another connection. The apply time is a setting, configurationApplyMs, from the platform's bounds; 6 s where it gives none.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -110,6 +110,7 @@
     value["memoryMegabytes"] = kMaxMemoryMegabytes;
     value["descriptors"] = kMaxDescriptors;
     value["stopSeconds"] = kStopSeconds;
+    value["configurationApplyMs"] = Json::Int64(absl::ToInt64Milliseconds(kLimits.apply));
     value["repeatRatio"] = kLimits.retryRatio;
     value["repeatExtra"] = kLimits.extraRetries;
     value["repeatWindowSeconds"] = absl::ToDoubleSeconds(kLimits.retryWindow);
--- a/src/node/object-api.cc
+++ b/src/node/object-api.cc
@@ -168,11 +168,11 @@
                                    : absl::StatusOr<std::vector<StoredObject>>(response.status()));
             });
     };
-    api.watch = [http](const std::string& key, ObjectVersion after, absl::Duration maxWait,
+    api.watch = [http](const std::string& key, ObjectVersion after, const WatchTiming& timing,
                     ObjectCallback<StoredObject> done) {
         const std::string target = absl::StrCat(
-            "/v1/watch/", key, "?after=", after, "&timeout-ms=", absl::ToInt64Milliseconds(maxWait));
-        http->call(verb::get, target, "", maxWait + http->timeout(),
+            "/v1/watch/", key, "?after=", after, "&timeout-ms=", absl::ToInt64Milliseconds(timing.wait));
+        http->call(verb::get, target, "", timing.wait + timing.responseTimeout,
             [key, done = std::move(done)](
                 absl::StatusOr<relay::Response> response) { done(parseObject(key, std::move(response))); });
     };
--- a/src/node/object-api.h
+++ b/src/node/object-api.h
@@ -2,6 +2,7 @@
 /// API.
 #pragma once
 
+#include "jackdawwall/watcher-selection.h"
 #include "relay/upstream.h"
 
 #include "absl/status/statusor.h"
@@ -40,16 +41,15 @@
     std::function<void(
         const std::string& prefix, const std::string& afterKey, ObjectCallback<std::vector<StoredObject>>)>
         list;
-    /// Waits until the version of the key is above `after`; NotFound when there is no change within
-    /// `maxWait`.
+    /// Waits until the version of the key is above `after`; NotFound when there is no change within the wait.
     std::function<void(
-        const std::string& key, ObjectVersion after, absl::Duration maxWait, ObjectCallback<StoredObject>)>
+        const std::string& key, ObjectVersion after, const WatchTiming&, ObjectCallback<StoredObject>)>
         watch;
 };
 
 struct ObjectApiOptions {
     std::vector<std::string> addresses; ///< Tried in this order.
-    absl::Duration timeout = absl::Seconds(2); ///< Of one call; for a watch, in addition to its maximum wait.
+    absl::Duration timeout = absl::Seconds(2); ///< Of a call other than a watch.
 };
 
 /// Connects to the object API over HTTP. The loop must outlive the returned object.
--- a/src/node/object-platform.cc
+++ b/src/node/object-platform.cc
@@ -71,9 +71,9 @@
 }
 
 void watchCatalogue(
-    const ObjectApi& objects, relay::StoreRevision after, absl::Duration maxWait, const ListingDone& done)
+    const ObjectApi& objects, relay::StoreRevision after, const WatchTiming& timing, const ListingDone& done)
 {
-    objects.watch(kCatalogueKey, after, maxWait, [after, done](const absl::StatusOr<StoredObject>& stored) {
+    objects.watch(kCatalogueKey, after, timing, [after, done](const absl::StatusOr<StoredObject>& stored) {
         if (stored.ok())
             done(catalogueListing(*stored));
         else if (absl::IsNotFound(stored.status())) // No change.
@@ -115,8 +115,9 @@
               const std::uint64_t slot = mixBits(stableHash(item.name)) % kSeedSlots;
               writeSeedRecord(objects, absl::StrCat(kSeedPrefix, dataCentre, "/", slot), item, done);
           };
-    port.store.watch = [objects](const relay::StoreKind&, relay::StoreRevision after, absl::Duration maxWait,
-                           const ListingDone& done) { watchCatalogue(objects, after, maxWait, done); };
+    port.store.watch
+        = [objects](const relay::StoreKind&, relay::StoreRevision after, const WatchTiming& timing,
+              const ListingDone& done) { watchCatalogue(objects, after, timing, done); };
     port.decodeConfiguration = unpackCatalogue;
     port.decodeSubmittedConfiguration = decodePushedCatalogue;
     return port;
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxMembersPerMessage = 200;
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kReplyTimeout = absl::Milliseconds(1500);
+/// Time without a reply after which an update on a reused connection is repeated on a new one.
+constexpr absl::Duration kSilenceTimeout = absl::Milliseconds(500);
 
 /// Why an update counts as not answered.
 absl::string_view missCause(const ExchangeResult& result)
@@ -104,11 +106,13 @@
     exchange.bytes = serializeRequest(request);
     state_.metrics.countControlBytes(exchange.bytes.size());
     exchange.connectTimeout = kConnectTimeout;
+    exchange.silenceTimeout = kSilenceTimeout;
     state_.pool.sendWithTimeout(parseEndpoint(address), std::move(exchange), kReplyTimeout,
-        [this, address, upTo](const ExchangeResult& result) { onReply(address, upTo, result); });
+        [this, address, sent = SentUpdate { upTo, state_.configuration.version }](
+            const ExchangeResult& result) { onReply(address, sent, result); });
 }
 
-void PeerLink::onReply(const std::string& address, std::uint64_t upTo, const ExchangeResult& result)
+void PeerLink::onReply(const std::string& address, const SentUpdate& sent, const ExchangeResult& result)
 {
     neighbours_[address].isRequestPending = false;
     std::string sender;
@@ -121,17 +125,19 @@
         }
         return;
     }
-    recordHeartbeat(state_.decisions.membership, address, upTo, steadyNow());
+    recordHeartbeat(state_.decisions.membership, address, sent.upTo, steadyNow());
     std::vector<std::function<void()>> acknowledged;
     std::erase_if(pendingAnnouncements_, [&](const auto& waiting) {
-        if (waiting.first > upTo)
+        if (waiting.first > sent.upTo)
             return false;
         acknowledged.push_back(waiting.second);
         return true;
     });
     for (const auto& callback : acknowledged)
         callback();
-    if (state_.decisions.membership.lastChange > upTo)
+    // A change that came while the reply was awaited, and that no other message to this neighbour announced.
+    if (state_.decisions.membership.lastChange > sent.upTo
+        || state_.configuration.version > std::max(sent.version, neighbours_[address].configurationVersion))
         sendUpdate(address);
 }
 
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -40,13 +40,19 @@
         bool isRequestPending = false; ///< A request to it is in progress.
     };
 
+    /// What an update contained.
+    struct SentUpdate {
+        std::uint64_t upTo = 0; ///< Number of the latest change of a member.
+        RouteVersion version = 0; ///< Of the configuration when it was sent.
+    };
+
     void runRound();
     /// Sends an update to the neighbours that are due in this round.
     void sendRound();
     /// True if the neighbour lacks a change or the configuration.
     bool isBehind(const std::string& address);
     void sendUpdate(const std::string& address);
-    void onReply(const std::string& address, std::uint64_t upTo, const ExchangeResult& result);
+    void onReply(const std::string& address, const SentUpdate& sent, const ExchangeResult& result);
     std::string encodeUpdate(const std::string& address, bool isReply, std::uint64_t& upTo);
     bool applyMessage(const std::string& body, std::string& sender);
     void merge(const std::vector<Member>& reported);
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -4,6 +4,7 @@
 
 #include "jackdawwall/route-table.h"
 #include "jackdawwall/target-lifetime.h"
+#include "jackdawwall/watcher-selection.h"
 #include "relay/message.h"
 #include "relay/relay-state.h"
 
@@ -47,9 +48,9 @@
     std::function<void(const StoreKind&, const StoredItem&, std::function<void(absl::StatusOr<StoredItem>)>)>
         put;
     /// Waits for changes after a revision; returns an empty listing if there was none. OutOfRange if the
-    /// store no longer has that history.
+    /// store no longer has that history, DeadlineExceeded if it did not respond.
     std::function<void(
-        const StoreKind&, StoreRevision, absl::Duration, std::function<void(absl::StatusOr<StoreListing>)>)>
+        const StoreKind&, StoreRevision, WatchTiming, std::function<void(absl::StatusOr<StoreListing>)>)>
         watch;
 };
 
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -48,6 +48,8 @@
         kMinDescriptors, reader.integer("descriptors", 4296, 1, kMaxDescriptors) - kReservedDescriptors));
     settings.gossipInterval = reader.milliseconds(
         "gossipIntervalMs", settings.gossipInterval, absl::Milliseconds(10), kMaxDuration);
+    settings.configurationApplyTime = reader.milliseconds(
+        "configurationApplyMs", settings.configurationApplyTime, absl::Milliseconds(100), kMaxDuration);
     settings.stopTime = absl::Seconds(reader.number("stopSeconds", 6, 0.1, 3600));
     ArrivalBudgetOptions arrivalBudget;
     arrivalBudget.retryRatio = reader.number("repeatRatio", arrivalBudget.retryRatio, 0, kMaxArrivalBudget);
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -34,6 +34,8 @@
     /// Number of nodes that watch the store for configuration changes, see watcher-selection.h; the others
     /// receive them by gossip. 0: all nodes watch.
     std::size_t watchers = 0;
+    /// Time within which a change of the configuration has to be in force at all nodes.
+    absl::Duration configurationApplyTime = absl::Seconds(6);
     absl::Duration gossipInterval = absl::Milliseconds(500); ///< Between two gossip rounds.
     /// Timeout for the header of a request, until a configuration sets one.
     absl::Duration headerTimeout = absl::Seconds(3);
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -59,6 +59,7 @@
     settings.memoryBytes = newSettings.memoryBytes;
     settings.descriptors = newSettings.descriptors;
     settings.gossipInterval = newSettings.gossipInterval;
+    settings.configurationApplyTime = newSettings.configurationApplyTime;
     settings.stopTime = newSettings.stopTime;
     settings.arrivalBudget = newSettings.arrivalBudget;
     state.bufferedBodies.setLimit(bufferedBodiesLimit(settings));
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -12,8 +12,6 @@
 namespace jackdawwall::relay {
 namespace {
 
-/// Maximum duration of one watch. Limits how long a silently broken connection stays undetected.
-constexpr absl::Duration kMaxWatchTime = absl::Seconds(10);
 /// How often a node that does not watch checks whether it has become one of the watchers.
 constexpr absl::Duration kWatcherCheckInterval = absl::Milliseconds(250);
 /// How long a starting node waits for its registration before it reads the configuration.
@@ -222,9 +220,17 @@
     });
 }
 
+WatcherOptions StoreSync::watcherOptions() const
+{
+    WatcherOptions options;
+    options.watchers = state_.settings.watchers;
+    options.applyTime = state_.settings.configurationApplyTime;
+    return options;
+}
+
 bool StoreSync::isWatcher() const
 {
-    return jackdawwall::isWatcher(state_.decisions.membership, { state_.settings.watchers }, steadyNow());
+    return jackdawwall::isWatcher(state_.decisions.membership, watcherOptions(), steadyNow());
 }
 
 void StoreSync::startFollowing()
@@ -255,29 +261,30 @@
                 return;
             }
             onListing(*listing);
-            watchConfiguration(listing->revision);
+            watchConfiguration(listing->revision, true);
         });
 }
 
-void StoreSync::watchConfiguration(StoreRevision after)
+void StoreSync::watchConfiguration(StoreRevision after, bool isAligned)
 {
     if (!isWatcher()) {
         followConfiguration();
         return;
     }
-    port_.store.watch(port_.configurationKind, after, kMaxWatchTime,
+    port_.store.watch(port_.configurationKind, after,
+        planWatch(state_.decisions.membership, watcherOptions(), isAligned),
         [this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("watch", startedAt, listing.status());
             if (listing.ok()) {
                 onListing(*listing);
-                watchConfiguration(std::max(after, listing->revision));
+                watchConfiguration(std::max(after, listing->revision), !listing->items.empty());
                 return;
             }
             if (absl::IsOutOfRange(listing.status()))
                 listConfiguration();
             else
-                retryLater(
-                    configurationFailures_, listing.status(), [this, after] { watchConfiguration(after); });
+                retryLater(configurationFailures_, listing.status(),
+                    [this, after] { watchConfiguration(after, false); });
         });
 }
 
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -43,7 +43,8 @@
     /// else checks again later. A node that gets no configuration from others reads it as well.
     void followConfiguration();
     void listConfiguration();
-    void watchConfiguration(StoreRevision after);
+    /// See planWatch for `isAligned`.
+    void watchConfiguration(StoreRevision after, bool isAligned);
     void onListing(const StoreListing& listing);
     void putNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done);
     /// Runs `attempt` after a delay that grows with each consecutive failure.
@@ -54,6 +55,7 @@
     void recordSuccess(StoreRevision revision);
     void recordFailure(const absl::Status& status);
     std::string encodeNodeRecord() const;
+    WatcherOptions watcherOptions() const;
     bool isWatcher() const;
 
     RelayState& state_;
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -18,6 +18,9 @@
 /// Share of the announced idle timeout during which a connection is reused.
 constexpr double kKeepAliveShare = 0.7;
 constexpr unsigned kFirstFinalStatus = 200;
+/// An exchange that is cancelled after this time without a byte of the response casts doubt on the idle
+/// connections to the same endpoint.
+constexpr absl::Duration kSilenceSuspicion = absl::Milliseconds(500);
 
 absl::Duration advertisedKeepAlive(const Response& response)
 {
@@ -47,6 +50,7 @@
     done_ = std::move(done);
     strayResponses_ = 0;
     ++exchanges_;
+    exchangeStartedAt_ = steadyNow();
     if (isConnected_)
         write();
     else
@@ -197,8 +201,12 @@
 
 void UpstreamConnection::cancel()
 {
+    const bool isSilent = done_ && exchanges_ > 1 && !(parser_ && parser_->got_some())
+        && steadyNow() - exchangeStartedAt_ >= kSilenceSuspicion;
     done_ = nullptr;
     close();
+    if (isSilent)
+        pool_.closeUnprovenSince(endpoint_, exchangeStartedAt_);
 }
 
 void UpstreamConnection::close()
@@ -249,29 +257,58 @@
 std::shared_ptr<UpstreamConnection> UpstreamPool::sendWithTimeout(
     const Tcp::endpoint& endpoint, ExchangeRequest exchange, absl::Duration timeout, ExchangeCallback done)
 {
-    struct Pending {
-        asio::steady_timer timer;
-        ExchangeCallback done; ///< Null once called.
-    };
-    const auto pending = std::make_shared<Pending>(
-        Pending { asio::steady_timer(loop_, absl::ToChronoMicroseconds(timeout)), std::move(done) });
-    auto connection = send(endpoint, std::move(exchange), [pending](ExchangeResult result) {
-        pending->timer.cancel();
-        if (pending->done)
-            std::exchange(pending->done, nullptr)(std::move(result));
-    });
-    pending->timer.async_wait([pending, connection](beast::error_code error) {
-        if (error || !pending->done)
+    const auto timed = std::make_shared<TimedExchange>(TimedExchange {
+        asio::steady_timer(loop_), endpoint, steadyNow(), timeout, std::nullopt, std::move(done) });
+    const absl::Duration silenceTimeout = exchange.silenceTimeout;
+    if (silenceTimeout < timeout) {
+        timed->repetition = exchange;
+        timed->repetition->silenceTimeout = absl::InfiniteDuration();
+    }
+    auto connection = send(endpoint, std::move(exchange),
+        [this, timed](ExchangeResult result) { finishTimed(*timed, std::move(result)); });
+    if (connection->exchanges_ == 1)
+        timed->repetition.reset();
+    timed->timer.expires_after(absl::ToChronoMicroseconds(timed->repetition ? silenceTimeout : timeout));
+    timed->timer.async_wait([this, timed, connection](beast::error_code error) {
+        if (error || !timed->done)
             return;
         ExchangeResult timedOut;
         timedOut.isTimedOut = true;
         timedOut.isReusedConnection = connection->exchanges_ > 1;
         connection->cancel();
-        std::exchange(pending->done, nullptr)(std::move(timedOut));
+        closeUnprovenSince(timed->endpoint, timed->startedAt);
+        finishTimed(*timed, std::move(timedOut));
     });
     return connection;
 }
 
+void UpstreamPool::finishTimed(TimedExchange& timed, ExchangeResult result)
+{
+    if (!timed.done)
+        return;
+    timed.timer.cancel();
+    ExchangeCallback done = std::exchange(timed.done, nullptr);
+    const absl::Duration remaining = timed.startedAt + timed.timeout - steadyNow();
+    if (result.status == ExchangeStatus::Complete || !timed.repetition || remaining <= absl::ZeroDuration()) {
+        done(std::move(result));
+        return;
+    }
+    closeUnprovenSince(timed.endpoint, timed.startedAt);
+    sendWithTimeout(timed.endpoint, *std::move(timed.repetition), remaining, std::move(done));
+}
+
+void UpstreamPool::closeUnprovenSince(const Tcp::endpoint& endpoint, absl::Time time)
+{
+    const auto found = idle_.find(endpoint);
+    if (found == idle_.end())
+        return;
+    const auto connections = found->second;
+    for (const auto& connection : connections) {
+        if (connection->idleSince_ < time)
+            connection->cancel();
+    }
+}
+
 void UpstreamPool::closeIdle(const Tcp::endpoint& endpoint)
 {
     const auto found = idle_.find(endpoint);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -42,6 +42,9 @@
     absl::Duration maxIdleTime = absl::Seconds(30); ///< Longest idle time of a connection that is reused.
     bool allowsUnframedResponse = true; ///< Accepts a response that ends with its connection.
     std::uint64_t maxResponseBytes = 32ULL << 20; ///< Largest response body.
+    /// For sendWithTimeout and idempotent requests: an exchange on a reused connection that fails, or has no
+    /// response after this time, is repeated once on another connection. Infinite: it is not repeated.
+    absl::Duration silenceTimeout = absl::InfiniteDuration();
 };
 
 using ExchangeCallback = std::function<void(ExchangeResult)>;
@@ -87,6 +90,7 @@
     bool isReusable_ = true;
     int strayResponses_ = 0;
     int exchanges_ = 0; ///< Started on this connection.
+    absl::Time exchangeStartedAt_;
     absl::Time idleSince_;
     absl::Duration keepAlive_ = absl::InfiniteDuration(); ///< Idle timeout that the server announced.
 };
@@ -106,7 +110,8 @@
     std::shared_ptr<UpstreamConnection> send(
         const Tcp::endpoint& endpoint, ExchangeRequest exchange, ExchangeCallback done);
     /// Like send, but aborts the exchange after `timeout`. `done` is called once: with the result, or at the
-    /// timeout, which is also reported for a connection that was cancelled before.
+    /// timeout, which is also reported for a connection that was cancelled before. A timeout also closes the
+    /// idle connections that may be silent as well.
     std::shared_ptr<UpstreamConnection> sendWithTimeout(const Tcp::endpoint& endpoint,
         ExchangeRequest exchange, absl::Duration timeout, ExchangeCallback done);
     /// Number of connections opened so far.
@@ -117,6 +122,22 @@
 private:
     friend class UpstreamConnection;
 
+    /// An exchange with a time limit.
+    struct TimedExchange {
+        asio::steady_timer timer;
+        Tcp::endpoint endpoint;
+        absl::Time startedAt;
+        absl::Duration timeout;
+        std::optional<ExchangeRequest> repetition; ///< Sent once if the exchange fails.
+        ExchangeCallback done; ///< Null once called.
+    };
+
+    void finishTimed(TimedExchange& timed, ExchangeResult result);
+    /// Closes the idle connections to an endpoint that carried no response since `time`. An exchange that
+    /// began at that time and got no response suggests that whatever lies between the two ends has lost track
+    /// of all older connections.
+    void closeUnprovenSince(const Tcp::endpoint& endpoint, absl::Time time);
+
     asio::io_context& loop_;
     std::uint64_t opened_ = 0;
     std::map<Tcp::endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -72,7 +72,7 @@
         };
         // Never reports a change: catalogues are applied directly in these tests.
         api.watch
-            = [](const std::string&, ObjectVersion, absl::Duration, const ObjectCallback<StoredObject>&) {};
+            = [](const std::string&, ObjectVersion, const WatchTiming&, const ObjectCallback<StoredObject>&) {};
         return api;
     }
 
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -204,7 +204,7 @@
                 done(StoredItem { item.name, revision_, previous.content, false });
             });
         };
-        result.watch = [this](const StoreKind& kind, StoreRevision after, absl::Duration, auto done) {
+        result.watch = [this](const StoreKind& kind, StoreRevision after, const WatchTiming&, auto done) {
             post([this, kind, after, done] {
                 if (isUnavailable)
                     done(unavailableError());
--- a/test/store-sync-test.cc
+++ b/test/store-sync-test.cc
@@ -42,9 +42,10 @@
         port.put = [this, index, reached, fail](const StoreKind& kind, const StoredItem& item, auto done) {
             isTurnedAway[index] ? fail(done) : reached.put(kind, item, done);
         };
-        port.watch
-            = [this, index, reached, fail](const StoreKind& kind, StoreRevision after, absl::Duration wait,
-                  auto done) { isTurnedAway[index] ? fail(done) : reached.watch(kind, after, wait, done); };
+        port.watch = [this, index, reached, fail](
+                         const StoreKind& kind, StoreRevision after, const WatchTiming& wait, auto done) {
+            isTurnedAway[index] ? fail(done) : reached.watch(kind, after, wait, done);
+        };
     }
 
     void start()
--- a/test/watcher-selection-test.cc
+++ b/test/watcher-selection-test.cc
@@ -22,10 +22,10 @@
 }
 
 /// The views of a fleet in which all nodes know each other.
-std::vector<MembershipState> fleet()
+std::vector<MembershipState> fleet(std::size_t nodes = kNodes)
 {
     std::vector<Member> members;
-    for (std::size_t index = 0; index < kNodes; ++index)
+    for (std::size_t index = 0; index < nodes; ++index)
         members.push_back(nodeMember(index));
     std::vector<MembershipState> views;
     for (const Member& self : members) {
@@ -112,6 +112,71 @@
     BOOST_TEST(watchers.size() == 2 * kWatchers);
 }
 
+struct SilenceRow {
+    const char* name;
+    std::size_t nodes;
+    absl::Duration applyTime;
+};
+
+/// Starts of a node's watches after a change that all received at kStart, with the timing of each.
+std::vector<std::pair<absl::Time, WatchTiming>> watchesOf(
+    const MembershipState& view, const WatcherOptions& options, absl::Time end)
+{
+    std::vector<std::pair<absl::Time, WatchTiming>> watches;
+    for (absl::Time start = kStart; start < end; start += watches.back().second.wait)
+        watches.emplace_back(start, planWatch(view, options, start == kStart));
+    return watches;
+}
+
+/// Time from `silentAt`, when the connections of all watchers fall silent, until the first one notices it.
+absl::Duration noticeTime(
+    const std::vector<std::vector<std::pair<absl::Time, WatchTiming>>>& watchers, absl::Time silentAt)
+{
+    absl::Duration first = absl::InfiniteDuration();
+    for (const auto& watches : watchers) {
+        const auto pending = std::find_if(watches.begin(), watches.end(),
+            [&](const auto& watch) { return watch.first + watch.second.wait >= silentAt; });
+        first = std::min(
+            first, pending->first + pending->second.wait + pending->second.responseTimeout - silentAt);
+    }
+    return first;
+}
+
+// All connections to the store fall silent at once. Guards against changes that are late by the length of a
+// watch.
+BOOST_AUTO_TEST_CASE(aWatcherNoticesInTimeThatAllConnectionsFellSilent)
+{
+    const std::vector<SilenceRow> table {
+        { "one node", 1, absl::Seconds(2) },
+        { "two nodes", 2, absl::Seconds(2) },
+        { "fewer nodes than watchers", 6, absl::Seconds(2) },
+        { "more nodes than watchers", 30, absl::Seconds(2.5) },
+        { "a large fleet", kNodes, absl::Seconds(3) },
+        { "a long apply time", 30, absl::Seconds(60) },
+    };
+    test::forEachRow(table, [](const SilenceRow& row) {
+        WatcherOptions options { kWatchers };
+        options.applyTime = row.applyTime;
+        const absl::Time end = kStart + absl::Minutes(2);
+        std::vector<std::vector<std::pair<absl::Time, WatchTiming>>> watchers;
+        std::size_t calls = 0;
+        for (const MembershipState& view : fleet(row.nodes)) {
+            if (!isWatcher(view, options, kStart))
+                continue;
+            watchers.push_back(watchesOf(view, options, end));
+            calls += watchers.back().size();
+        }
+        absl::Duration slowest;
+        for (absl::Time at = kStart; at < end - absl::Minutes(1); at += absl::Milliseconds(7))
+            slowest = std::max(slowest, noticeTime(watchers, at));
+        BOOST_TEST((slowest <= row.applyTime / 2), absl::FormatDuration(slowest));
+        // The store pays for each watch: together the watchers renew one in each quarter of the apply time.
+        const double renewals = (end - kStart) / (row.applyTime / 4);
+        const double minimum = static_cast<double>(watchers.size()) * 12; // None lasts longer than 10 s.
+        BOOST_TEST(static_cast<double>(calls) <= std::max(renewals, minimum) + 2 * kWatchers);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(aNodeWithoutContactToOthersWatchesUntilANeighbourResponds)
 {
     std::vector<MembershipState> views = fleet();
