Requests in absolute form and after empty lines are served

What callers saw: 404 for a target such as http://host/path, 400 for an empty line before the request line, for requests that are correct (RFC 9112, 3.2.2 and 2.2).

Cause: routes were matched against the target as written, and the parser refuses an empty line. Class of fault: one form of a message is taken for the only one.

Evidence: caller-forms-test failed in 4 absolute forms and 2 with empty lines, whole and byte by byte; 18 other forms passed.

Why this works: the session skips empty lines before a request and rewrites a target in absolute form before anything looks at it, so routes, logs and targets see the origin form, and Host is the authority that the caller named.

Measured: caller-forms-test passes (48 cases).

--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -1,6 +1,7 @@
 #include "relay/http-session.h"
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
 
 #include <boost/asio/write.hpp>
 
@@ -9,6 +10,7 @@
 namespace jackdawwall::relay {
 namespace {
 
+constexpr absl::string_view kLineEnd = "\r\n";
 constexpr std::size_t kReadSize = 16U << 10;
 /// Limit on the unparsed bytes of a connection.
 constexpr std::size_t kMaxBufferedBytes = 64U << 10;
@@ -107,9 +109,24 @@
     while (!isEnding_ && !isClosed_ && pending_.size() < kMaxPipelinedRequests && parseRequest()) { }
 }
 
+/// Empty lines before a request are ignored (RFC 9112, 2.2).
+void HttpSession::skipEmptyLines()
+{
+    while (absl::StartsWith(unparsedBytes(), kLineEnd))
+        buffer_.consume(kLineEnd.size());
+}
+
+absl::string_view HttpSession::unparsedBytes() const
+{
+    return { static_cast<const char*>(buffer_.data().data()), buffer_.size() };
+}
+
 bool HttpSession::parseRequest()
 {
-    if (buffer_.size() == 0)
+    if (!parser_)
+        skipEmptyLines();
+    // Nothing, or the first byte of one more empty line.
+    if (buffer_.size() == 0 || (!parser_ && unparsedBytes() == kLineEnd.substr(0, 1)))
         return false;
     if (!parser_) {
         parser_.emplace();
@@ -138,6 +155,7 @@
         return false;
     auto incoming = std::make_shared<IncomingRequest>();
     incoming->request = parser_->release();
+    useOriginForm(incoming->request);
     incoming->receivedAt = steadyNow();
     incoming->remoteAddress = remoteAddress_;
     incoming->session = weak_from_this();
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -33,6 +33,8 @@
     void onRead(beast::error_code error, std::size_t bytes);
     void parseRequests();
     bool parseRequest();
+    void skipEmptyLines();
+    absl::string_view unparsedBytes() const;
     void refuse(http::status status, absl::string_view text);
     void dispatch();
     void write();
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -1,6 +1,7 @@
 #include "relay/message.h"
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -67,6 +68,22 @@
     return writeHead(serializer);
 }
 
+void useOriginForm(Request& request)
+{
+    const std::string target(request.target());
+    for (const absl::string_view scheme : { "http://", "https://" }) {
+        if (!absl::StartsWithIgnoreCase(target, scheme))
+            continue;
+        const std::size_t authorityEnd = std::min(target.find_first_of("/?", scheme.size()), target.size());
+        if (authorityEnd == scheme.size())
+            return; // An empty authority matches no route.
+        request.set(http::field::host, target.substr(scheme.size(), authorityEnd - scheme.size()));
+        const std::string path = target.substr(authorityEnd);
+        request.target(absl::StartsWith(path, "/") ? path : "/" + path);
+        return;
+    }
+}
+
 Request copyHead(const Request& request)
 {
     Request head;
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -28,6 +28,10 @@
 std::string serializeHead(const Request& request);
 std::string serializeHead(const Response& response);
 
+/// Replaces a target in absolute form ("http://host/path") by its path and query, and Host by its authority
+/// (RFC 9112, 3.2.2). Leaves other forms unchanged.
+void useOriginForm(Request& request);
+
 /// Copies the head without hop-by-hop headers and sets Content-Length to the size of the request's body.
 Request copyHead(const Request& request);
 
