A copy of an earlier refusal is no answer to the next request

What callers would see (reported by another operator): "not run, try again" for a booking that ran, or was running; the caller then books again. Also a response of an earlier request in place of their own.

Cause: on a kept connection a response without a request id was taken for the answer to the request that was sent last, and one with the id was, too, if the same id had been sent again on that connection. Class of fault: a message is attributed by its position, not by what it names.

Evidence: kept-connection-test failed in three of five kinds of late copy and in both kinds of a copied refusal.

Why this works: where targets mark their responses (the users' platform), a response without an id on a reused connection belongs to nobody known, so the call may have run: 502, and the connection is closed. A connection on which a target refused a call is closed, unless the call was idempotent and the refusal names it, so no late copy can arrive for the same id. Both hold for the project's own interface as far as its targets name requests.

The other report, a response that breaks off in its head and looks complete, can't happen here: the test cuts four kinds of response after each byte, and each ends in 502.

Measured: kept-connection-test passes (11 cases).

--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -119,6 +119,7 @@
     exchange.isHeadRequest = pending->call.request->method() == http::verb::head;
     exchange.idHeader = isSafeguardDisabled("answer-ids") ? "" : options_.names.requestId;
     exchange.id = context.requestId;
+    exchange.requiresId = !options_.names.seal.empty() && !exchange.idHeader.empty();
     exchange.connectTimeout = kConnectTimeout;
     exchange.maxIdleTime = context.isIdempotent ? kMaxIdleTimeIdempotent : options_.maxIdleTimeNonIdempotent;
     exchange.allowsUnframedResponse = !options_.names.seal.empty();
@@ -207,8 +208,14 @@
     RunResult runResult = RunResult::Aborted;
     if (classified.status == GateStatus::Answered)
         runResult = httpStatus < kInternalServerError ? RunResult::Completed : RunResult::Failed;
-    if (classified.status == GateStatus::Rejected)
+    if (classified.status == GateStatus::Rejected) {
         runResult = RunResult::RefusedByTarget;
+        // A late copy of this refusal must not answer another request, or the same one when it is sent again.
+        // The id excludes the former; the latter is harmless for idempotent work.
+        const bool hasId = !headerValue(result.response, options_.names.requestId).empty();
+        if (pending->connection && !(pending->call.context.isIdempotent && hasId))
+            pending->connection->cancel();
+    }
     log_.record("target-call", pending->call.context.requestId, classified.status == GateStatus::Answered,
         { { "request", pending->call.context.requestId }, { "route", pending->call.context.kind },
             { "target", target_.lifetime.id }, { "end", toText(classified.status) },
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -174,6 +174,11 @@
         isReusable_ = false;
         return false;
     }
+    if (id.empty() && exchange_.requiresId && exchanges_ > 1) {
+        isReusable_ = false;
+        finish(ExchangeStatus::Malformed);
+        return true;
+    }
     isReusable_ = isReusable_ && keepsConnection && buffer_.size() == 0 && !isWriting_;
     keepAlive_ = advertisedKeepAlive(response_);
     finish(strayResponses_ > kMaxStrayResponses ? ExchangeStatus::Malformed : ExchangeStatus::Complete);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -38,6 +38,9 @@
     /// is discarded.
     std::string idHeader;
     std::string id;
+    /// The server names the request in each response. On a reused connection, a response without the id may
+    /// belong to an earlier request, so it makes the exchange Malformed.
+    bool requiresId = false;
     absl::Duration connectTimeout = absl::Milliseconds(500);
     absl::Duration maxIdleTime = absl::Seconds(30); ///< Longest idle time of a connection that is reused.
     bool allowsUnframedResponse = true; ///< Accepts a response that ends with its connection.
