--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -71,8 +71,8 @@
             });
         };
         // Never reports a change: catalogues are applied directly in these tests.
-        api.watch
-            = [](const std::string&, ObjectVersion, const WatchTiming&, const ObjectCallback<StoredObject>&) {};
+        api.watch = [](const std::string&, ObjectVersion, const WatchTiming&,
+                        const ObjectCallback<StoredObject>&) {};
         return api;
     }
 
