--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -190,10 +190,8 @@
         status, text, status == http::status::service_unavailable ? kBusyRetryAfter : absl::ZeroDuration());
     incoming->response->keep_alive(false);
     if (listener_.onRejected) {
-        const absl::string_view unparsed(
-            static_cast<const char*>(buffer_.data().data()), std::min(buffer_.size(), kMaxLoggedBytes));
-        listener_.onRejected(
-            { static_cast<unsigned>(status), std::string(text), absl::CHexEscape(unparsed), remoteAddress_ });
+        listener_.onRejected({ static_cast<unsigned>(status), std::string(text),
+            absl::CHexEscape(unparsedBytes().substr(0, kMaxLoggedBytes)), remoteAddress_ });
     }
     parser_.reset();
     hasPartialRequest_ = false;
