One way for tests to use the platform's store and decoder

The check that nodes find each other beside a foreign entry asks for exactly two members now, as its comment said; at least two would have let a foreign entry count as a node.

--- a/test/foreign-entries-test.cc
+++ b/test/foreign-entries-test.cc
@@ -2,8 +2,6 @@
 // Guards against one such entry that hides all others, holds up every later change, or ends the process.
 #include "store-fixture.h"
 
-#include "decode.h"
-
 #include <boost/test/data/test_case.hpp>
 
 using namespace jackdawwall;
@@ -48,15 +46,8 @@
     {
         clients.push_back(std::make_unique<platform::ObjectStore>(loop, server.address()));
         nodes.push_back(std::make_unique<TestNode>(loop, unused, name, "books", kUnusedAddress));
-        TestNode& added = *nodes.back();
-        added.port.store = clients.back()->port();
-        added.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
-            absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
-            if (!table.ok())
-                return table.status();
-            return routedConfiguration(*std::move(table));
-        };
-        return added;
+        usePlatformStore(*nodes.back(), *clients.back());
+        return *nodes.back();
     }
 
     asio::io_context loop;
@@ -92,8 +83,8 @@
     TestNode& second = fleet.add("n2");
     first.start();
     second.start();
-    // Exactly these two and, where the foreign entry has a valid address, that one.
-    runUntil(fleet.loop, [&] { return first.node->memberCount() >= 2 && second.node->memberCount() >= 2; });
+    // Exactly these two: no foreign entry of the table names a node.
+    runUntil(fleet.loop, [&] { return first.node->memberCount() == 2 && second.node->memberCount() == 2; });
 }
 
 BOOST_DATA_TEST_CASE(
--- a/test/silent-connection-test.cc
+++ b/test/silent-connection-test.cc
@@ -61,13 +61,7 @@
     platform::ObjectStore client(loop, server.address());
     MemoryStore unused(loop);
     TestNode node(loop, unused, "n1", "books", kUnusedAddress);
-    node.port.store = client.port();
-    node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
-        std::vector<Finding> findings;
-        RouteTable table;
-        table.version = (*parseJson({ "configuration", text, &findings }))["version"].asUInt64();
-        return routedConfiguration(std::move(table));
-    };
+    usePlatformStore(node, client);
     server.set("configuration", "main", kVersion5);
     node.start();
     runUntil(loop, [&] { return node.node->configurationVersion() == 5 && !server.waits.empty(); });
--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -2,6 +2,7 @@
 /// text, so that they can hold entries that no decoder of this project would write.
 #pragma once
 
+#include "decode.h"
 #include "object-store.h"
 #include "relay-fixture.h"
 
@@ -126,4 +127,16 @@
     std::vector<Watch> watches_;
 };
 
+/// Makes a node use the platform's store and decoder instead of those of the tests.
+inline void usePlatformStore(TestNode& node, platform::ObjectStore& client)
+{
+    node.port.store = client.port();
+    node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
+        absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
+        if (!table.ok())
+            return table.status();
+        return routedConfiguration(*std::move(table));
+    };
+}
+
 } // namespace jackdawwall::relay::test
