Responses that never end are cut off, and all held responses are bounded

Callers saw connections that ended without an answer, among them requests at sound targets (LOST), whenever a target sent bytes without end: the node beside it exceeded its memory limit and was killed, and killed again after its restart.

Cause: UpstreamConnection read as long as bytes came. Beast's parser bounds a head and chunked bodies, but neither the line of a chunk's size, chunk extensions nor trailers, and its limit did not stop a body with a Content-Length above it (a 64 MB body got through with a limit of 32 MB). Responses, also those that a slow caller had not read yet, counted against no budget.

Now unparsed bytes are limited, bodies are limited whatever their framing, interim responses are counted, and all responses of a node hold reservations of a budget until they are written to the caller. Without room, the exchange that has received most ends: a response without end becomes the largest, so sound ones are not affected. The limit on heads is 32 KB (64 KB between nodes, which add headers), in place of Beast's 8 KB.

--- a/include/jackdawwall/core.h
+++ b/include/jackdawwall/core.h
@@ -35,6 +35,7 @@
     PlatformUnavailable,
     BadRequest,
     Cancelled,
+    ResponseTooLarge,
 };
 
 /// Text used in response headers, logs and metrics, e.g. "not-run".
--- a/src/node/catalogue-interface.cc
+++ b/src/node/catalogue-interface.cc
@@ -93,6 +93,7 @@
     case Reason::TargetFailed:
     case Reason::ConnectionLost:
     case Reason::Truncated:
+    case Reason::ResponseTooLarge:
         return 502;
     default:
         return 503;
--- a/src/relay/byte-budget.h
+++ b/src/relay/byte-budget.h
@@ -51,6 +51,8 @@
             budget_->reserved_ -= bytes_;
     }
 
+    std::size_t bytes() const { return bytes_; }
+
     /// Grows the reservation to `bytes`; false, without any change, if that would exceed the budget.
     [[nodiscard]] bool growTo(std::size_t bytes)
     {
--- a/src/relay/caller-call.cc
+++ b/src/relay/caller-call.cc
@@ -12,6 +12,8 @@
 /// A response that is still in transit at the deadline is forwarded if it arrives within this time.
 constexpr absl::Duration kResponseGracePeriod = absl::Milliseconds(40);
 constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(400);
+/// Largest head of a response from another node, which adds headers to the head that it accepted.
+constexpr std::uint32_t kMaxPeerHeadBytes = 64U << 10;
 /// Largest share of the time until the process stops that a call may spend waiting in a queue.
 constexpr double kMaxStopTimeShare = 0.33;
 /// Smallest latency objective that is sent: zero would mean that the call has none, so a used-up objective
@@ -154,6 +156,7 @@
     exchange.body = { request_, &request_->body() };
     exchange.isHeadRequest = request_->method() == http::verb::head;
     exchange.connectTimeout = kPeerConnectTimeout;
+    exchange.maxHeadBytes = kMaxPeerHeadBytes;
     exchange.maxIdleTime = call_.context.isIdempotent ? kMaxIdleTimeIdempotent : kMaxIdleTimeNonIdempotent;
     pending->connection = state_.pool.send(parseEndpoint(pending->attempt.address), std::move(exchange),
         [self = shared_from_this(), pending](ExchangeResult result) {
@@ -216,7 +219,7 @@
     close(end, result.response.result_int());
     if (interface_.markResponse)
         interface_.markResponse(result.response, end);
-    incoming_->respond(std::move(result.response));
+    incoming_->respond(std::move(result.response), std::move(result.reservation));
 }
 
 void CallerCall::fail(const AttemptResult& end, const std::string& detail)
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -130,7 +130,8 @@
     }
     const absl::string_view statusText = headerValue(result.response, kEndHeader);
     if (result.status != ExchangeStatus::Complete || statusText.empty()) {
-        decoded.reason = Reason::ConnectionLost;
+        decoded.reason
+            = result.status == ExchangeStatus::TooLarge ? Reason::ResponseTooLarge : Reason::ConnectionLost;
         return decoded;
     }
     decoded.hasNodeResponded = true;
@@ -147,6 +148,7 @@
     }
     removeHeaders(result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader });
     decoded.response = std::move(result.response);
+    decoded.reservation = std::move(result.reservation);
     return decoded;
 }
 
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -27,12 +27,14 @@
     std::function<void()> onAbandoned; ///< Called if the caller disconnects before the response.
     std::function<void()> onFinished; ///< Called once, after the response or the disconnect.
 
-    /// Sends the response. No effect after a disconnect or an earlier response.
-    void respond(Response response);
+    /// Sends the response and keeps its reservation until it is written. No effect after a disconnect or an
+    /// earlier response.
+    void respond(Response response, ByteReservation reservation = {});
 
     std::weak_ptr<HttpSession> session;
     std::optional<Response> response;
     ByteReservation bodyReservation; ///< For the request's body.
+    ByteReservation responseReservation;
     bool isDispatched = false;
     bool isDone = false;
 };
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -43,13 +43,14 @@
 
 } // namespace
 
-void IncomingRequest::respond(Response newResponse)
+void IncomingRequest::respond(Response newResponse, ByteReservation reservation)
 {
     if (isDone)
         return;
     isDone = true;
     onAbandoned = nullptr;
     response = std::move(newResponse);
+    responseReservation = std::move(reservation);
     if (onFinished)
         std::exchange(onFinished, nullptr)();
     if (const auto activeSession = session.lock())
@@ -235,7 +236,7 @@
         response.keep_alive(!isLast);
         enqueue(serializeHead(response));
         if (incoming->request.method() != http::verb::head)
-            enqueue(std::move(response.body()));
+            enqueue(std::move(response.body()), std::move(incoming->responseReservation));
         write();
         hasSent = true;
         if (isLast) {
@@ -259,10 +260,10 @@
     }
 }
 
-void HttpSession::enqueue(std::string bytes)
+void HttpSession::enqueue(std::string bytes, ByteReservation reservation)
 {
     if (!bytes.empty())
-        writeQueue_.push_back(std::move(bytes));
+        writeQueue_.push_back({ std::move(bytes), std::move(reservation) });
 }
 
 void HttpSession::write()
@@ -272,8 +273,8 @@
     isWriting_ = true;
     writing_ = std::exchange(writeQueue_, {});
     std::vector<asio::const_buffer> buffers;
-    for (const std::string& bytes : writing_)
-        buffers.push_back(asio::buffer(bytes));
+    for (const OutgoingBytes& outgoing : writing_)
+        buffers.push_back(asio::buffer(outgoing.bytes));
     asio::async_write(socket_, buffers,
         [self = shared_from_this()](beast::error_code error, std::size_t) { self->onWritten(error); });
 }
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -29,6 +29,11 @@
     void finish();
 
 private:
+    struct OutgoingBytes {
+        std::string bytes;
+        ByteReservation reservation;
+    };
+
     void read();
     void onRead(beast::error_code error, std::size_t bytes);
     void parseRequests();
@@ -38,7 +43,7 @@
     void refuse(http::status status, absl::string_view text);
     void dispatch();
     void write();
-    void enqueue(std::string bytes);
+    void enqueue(std::string bytes, ByteReservation reservation = {});
     bool reserveBody();
     void onWritten(beast::error_code error);
     void sendContinue();
@@ -49,8 +54,8 @@
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::deque<IncomingRequestPtr> pending_;
-    std::vector<std::string> writing_;
-    std::vector<std::string> writeQueue_;
+    std::vector<OutgoingBytes> writing_;
+    std::vector<OutgoingBytes> writeQueue_;
     ByteReservation bodyReservation_; ///< For the body being read.
     bool hasBodyReservation_ = false;
     bool isWriting_ = false;
--- a/src/relay/operator-port.cc
+++ b/src/relay/operator-port.cc
@@ -96,6 +96,8 @@
             gauge("jackdaw_caller_connections", "Connections of callers.", callerConnections),
             gauge("jackdaw_held_body_bytes", "Bodies held for callers and other nodes.",
                 state.bufferedBodies.reserved()),
+            gauge("jackdaw_held_response_bytes", "Responses being received, or not read by callers yet.",
+                state.bufferedResponses.reserved()),
             gauge("jackdaw_connections_opened", "Connections opened since the start.",
                 state.pool.connectionsOpened()),
             gauge("jackdaw_dropped_log_events", "Log events dropped.", droppedLogEvents())));
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -212,7 +212,8 @@
     };
     *id = state_.gate.offer(std::move(hop->call), [incoming, isDone](GateResult result) {
         *isDone = true;
-        incoming->respond(encodeResult(std::move(result)));
+        ByteReservation reservation = std::move(result.reservation);
+        incoming->respond(encodeResult(std::move(result)), std::move(reservation));
     });
 }
 
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -50,7 +50,7 @@
     HeaderNames names;
 };
 
-/// Share of the memory for buffered bodies of callers and other nodes.
+/// Share of the memory for the buffered bodies of requests, and the same share for responses.
 inline constexpr double kBufferedBodiesShare = 0.3;
 /// Share of the descriptors for callers' connections; the rest is for other nodes and targets.
 inline constexpr double kCallerDescriptorShare = 0.6;
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -47,7 +47,8 @@
     : loop(ioLoop)
     , settings(std::move(initialSettings))
     , bufferedBodies(bufferedBodiesLimit(settings))
-    , pool(ioLoop)
+    , bufferedResponses(bufferedBodiesLimit(settings))
+    , pool(ioLoop, &bufferedResponses)
     , decisions(initialDecisions(settings))
     , gate(decisions, pool, requestLog, metrics, gateOptions(settings))
 {
@@ -63,6 +64,7 @@
     settings.stopTime = newSettings.stopTime;
     settings.arrivalBudget = newSettings.arrivalBudget;
     state.bufferedBodies.setLimit(bufferedBodiesLimit(settings));
+    state.bufferedResponses.setLimit(bufferedBodiesLimit(settings));
     state.gate.setArrivalBudget(settings.arrivalBudget);
 }
 
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -33,7 +33,8 @@
 
     asio::io_context& loop;
     RelaySettings settings;
-    ByteBudget bufferedBodies;
+    ByteBudget bufferedBodies; ///< Of requests.
+    ByteBudget bufferedResponses;
     UpstreamPool pool;
     Metrics metrics;
     RequestLog requestLog;
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -28,6 +28,14 @@
     return http::to_status_class(response.result()) == http::status_class::successful;
 }
 
+/// Why an exchange that was sent ended without a complete response.
+Reason reasonFor(ExchangeStatus status)
+{
+    if (status == ExchangeStatus::TooLarge)
+        return Reason::ResponseTooLarge;
+    return status == ExchangeStatus::Lost ? Reason::ConnectionLost : Reason::Truncated;
+}
+
 /// Removes the hop-by-hop headers of a completely read response. Sets Content-Length if it has a body.
 void setFraming(Response& response, bool isHeadRequest)
 {
@@ -173,9 +181,7 @@
     if (result.status == ExchangeStatus::NotSent)
         return { GateStatus::Refused, Reason::Unreachable, {}, {} };
     if (result.status != ExchangeStatus::Complete) {
-        const Reason reason
-            = result.status == ExchangeStatus::Lost ? Reason::ConnectionLost : Reason::Truncated;
-        return { GateStatus::Unknown, reason, {}, {} };
+        return { GateStatus::Unknown, reasonFor(result.status), {}, {} };
     }
     const HeaderNames& names = options_.names;
     const Response& response = result.response;
@@ -194,7 +200,7 @@
         return { GateStatus::Unknown, Reason::TargetFailed, {}, {} };
     setFraming(result.response, pending.call.request->method() == http::verb::head);
     return { GateStatus::Answered, isSuccess(response) ? Reason::None : Reason::TargetFailed,
-        std::move(result.response), {} };
+        std::move(result.response), {}, true, std::move(result.reservation) };
 }
 
 void TargetGate::onResponse(CallId id, ExchangeResult result)
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -47,6 +47,7 @@
     Response response; ///< For Answered.
     CallFeedback feedback;
     bool hasNodeResponded = true; ///< False when the target's node sent no valid response.
+    ByteReservation reservation {}; ///< For the response.
 };
 
 using GateCallback = std::function<void(GateResult)>;
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -15,6 +15,11 @@
 constexpr std::size_t kReadBytes = 16U << 10;
 /// Number of responses to other requests that are skipped before the exchange fails.
 constexpr int kMaxStrayResponses = 3;
+/// Number of interim responses after which the exchange fails.
+constexpr int kMaxInterimResponses = 100;
+/// Limit on received bytes that the parser can't use yet. It bounds what the parser itself does not: the line
+/// of a chunk's size, chunk extensions and trailers. Larger than any head that is accepted.
+constexpr std::size_t kMaxUnparsedBytes = 128U << 10;
 /// Share of the announced idle timeout during which a connection is reused.
 constexpr double kKeepAliveShare = 0.7;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -49,6 +54,10 @@
     exchange_ = std::move(exchange);
     done_ = std::move(done);
     strayResponses_ = 0;
+    interimResponses_ = 0;
+    if (pool_.responseBudget_ != nullptr)
+        reservation_ = ByteReservation(*pool_.responseBudget_);
+    pool_.active_.insert(this);
     ++exchanges_;
     exchangeStartedAt_ = steadyNow();
     if (isConnected_)
@@ -98,6 +107,7 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->skip(exchange_.isHeadRequest);
+    parser_->header_limit(exchange_.maxHeadBytes);
     parser_->body_limit(exchange_.maxResponseBytes);
 }
 
@@ -129,6 +139,44 @@
     read();
 }
 
+std::size_t UpstreamConnection::receivedBytes() const
+{
+    return buffer_.size() + (parser_ ? parser_->get().body().size() : 0);
+}
+
+bool UpstreamConnection::reserveReceived()
+{
+    // The parser's limit on bodies does not hold for a body with a Content-Length.
+    const bool isBodyTooLarge = parser_->get().body().size() > exchange_.maxResponseBytes;
+    if (isBodyTooLarge || buffer_.size() > kMaxUnparsedBytes) {
+        finish(ExchangeStatus::TooLarge);
+        return false;
+    }
+    while (!reservation_.growTo(receivedBytes())) {
+        // A response that never ends becomes the largest, so the others are not affected.
+        UpstreamConnection* largest = pool_.largestExchange();
+        if (largest == nullptr || largest == this || largest->reservation_.bytes() <= receivedBytes()) {
+            finish(ExchangeStatus::TooLarge);
+            return false;
+        }
+        largest->evict();
+    }
+    return true;
+}
+
+void UpstreamConnection::evict()
+{
+    const auto self = shared_from_this();
+    parser_.reset();
+    buffer_.consume(buffer_.size());
+    reservation_ = {};
+    close();
+    asio::post(pool_.loop_, [self] {
+        if (self->done_)
+            self->finish(ExchangeStatus::TooLarge);
+    });
+}
+
 void UpstreamConnection::onEndOfStream(beast::error_code error)
 {
     isReusable_ = false;
@@ -151,10 +199,11 @@
         buffer_.consume(parser_->put(buffer_.data(), error));
         if (error && error != http::error::need_more) {
             isReusable_ = false;
-            finish(ExchangeStatus::Malformed);
+            const bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit;
+            finish(isTooLarge ? ExchangeStatus::TooLarge : ExchangeStatus::Malformed);
             return;
         }
-        if (!parser_->is_done())
+        if (!reserveReceived() || !parser_->is_done())
             return;
         if (acceptResponse())
             return;
@@ -167,8 +216,12 @@
 {
     const bool keepsConnection = parser_->keep_alive();
     response_ = parser_->release();
-    if (response_.result_int() < kFirstFinalStatus)
-        return false;
+    if (response_.result_int() < kFirstFinalStatus) {
+        if (++interimResponses_ <= kMaxInterimResponses)
+            return false;
+        finish(ExchangeStatus::TooLarge);
+        return true;
+    }
     const absl::string_view id = exchange_.idHeader.empty() ? "" : headerValue(response_, exchange_.idHeader);
     if (!id.empty() && id != exchange_.id && ++strayResponses_ <= kMaxStrayResponses) {
         isReusable_ = false;
@@ -189,8 +242,12 @@
 {
     const auto self = shared_from_this();
     timer_.cancel();
+    pool_.active_.erase(this);
     const ExchangeCallback done = std::exchange(done_, nullptr);
-    ExchangeResult result { status, std::move(response_), false, exchanges_ > 1 };
+    ExchangeResult result { status, std::move(response_), false, exchanges_ > 1, std::move(reservation_) };
+    reservation_ = {};
+    if (status != ExchangeStatus::Complete)
+        result.reservation = {};
     response_ = {};
     parser_.reset();
     exchange_ = {};
@@ -219,6 +276,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
+    pool_.active_.erase(this);
     timer_.cancel();
     beast::error_code error;
     socket_.close(error);
@@ -287,6 +345,15 @@
     return connection;
 }
 
+UpstreamConnection* UpstreamPool::largestExchange() const
+{
+    const auto largest = std::max_element(
+        active_.begin(), active_.end(), [](const UpstreamConnection* left, const UpstreamConnection* right) {
+            return left->reservation_.bytes() < right->reservation_.bytes();
+        });
+    return largest == active_.end() ? nullptr : *largest;
+}
+
 void UpstreamPool::finishTimed(TimedExchange& timed, ExchangeResult result)
 {
     if (!timed.done)
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -2,8 +2,11 @@
 /// never sent from one that may have run. A connection that receives unsolicited bytes is closed.
 #pragma once
 
+#include "relay/byte-budget.h"
 #include "relay/message.h"
 
+#include "absl/container/flat_hash_set.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -21,6 +24,7 @@
     NotSent, ///< It is certain that no byte of the request was sent.
     Lost, ///< The connection failed after sending had begun.
     Malformed, ///< The received bytes are not a complete response to this request.
+    TooLarge, ///< The response exceeds a limit, or more than this process can hold.
 };
 
 struct ExchangeResult {
@@ -28,6 +32,7 @@
     Response response;
     bool isTimedOut = false; ///< The exchange was aborted at its time limit.
     bool isReusedConnection = false; ///< The connection had carried an earlier exchange.
+    ByteReservation reservation {}; ///< For the response; keep it as long as the response.
 };
 
 struct ExchangeRequest {
@@ -45,6 +50,7 @@
     absl::Duration maxIdleTime = absl::Seconds(30); ///< Longest idle time of a connection that is reused.
     bool allowsUnframedResponse = true; ///< Accepts a response that ends with its connection.
     std::uint64_t maxResponseBytes = 32ULL << 20; ///< Largest response body.
+    std::uint32_t maxHeadBytes = 32U << 10; ///< Largest response head.
     /// For sendWithTimeout and idempotent requests: an exchange on a reused connection that fails, or has no
     /// response after this time, is repeated once on another connection. Infinite: it is not repeated.
     absl::Duration silenceTimeout = absl::InfiniteDuration();
@@ -71,6 +77,12 @@
     void read();
     void onRead(beast::error_code error, std::size_t bytes);
     void parse();
+    /// Reserves the bytes received so far. Returns false, after it has ended the exchange, if they exceed a
+    /// limit.
+    bool reserveReceived();
+    std::size_t receivedBytes() const;
+    /// Ends the exchange because other responses need the memory. Reports it from the event loop.
+    void evict();
     bool acceptResponse();
     void onEndOfStream(beast::error_code error);
     void resetParser();
@@ -86,12 +98,14 @@
     ExchangeRequest exchange_;
     ExchangeCallback done_;
     Response response_;
+    ByteReservation reservation_; ///< For the bytes received in this exchange.
     bool isConnected_ = false;
     bool isReading_ = false;
     bool isWriting_ = false;
     bool isClosed_ = false;
     bool isReusable_ = true;
     int strayResponses_ = 0;
+    int interimResponses_ = 0;
     int exchanges_ = 0; ///< Started on this connection.
     absl::Time exchangeStartedAt_;
     absl::Time idleSince_;
@@ -100,8 +114,11 @@
 
 class UpstreamPool {
 public:
-    explicit UpstreamPool(asio::io_context& loop)
+    /// `responseBudget` limits the bytes of all responses that are being received or still held; null: no
+    /// limit.
+    explicit UpstreamPool(asio::io_context& loop, ByteBudget* responseBudget = nullptr)
         : loop_(loop)
+        , responseBudget_(responseBudget)
     {
     }
     ~UpstreamPool();
@@ -141,8 +158,13 @@
     /// of all older connections.
     void closeUnprovenSince(const Tcp::endpoint& endpoint, absl::Time time);
 
+    /// The exchange that has received most so far; null if there is none.
+    UpstreamConnection* largestExchange() const;
+
     asio::io_context& loop_;
+    ByteBudget* responseBudget_;
     std::uint64_t opened_ = 0;
+    absl::flat_hash_set<UpstreamConnection*> active_; ///< Connections with an exchange in progress.
     std::map<Tcp::endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
 };
 
--- a/src/retry-budget.cc
+++ b/src/retry-budget.cc
@@ -51,6 +51,7 @@
     case Reason::Unreachable:
     case Reason::ConnectionLost:
     case Reason::Truncated:
+    case Reason::ResponseTooLarge:
     case Reason::TargetShed:
     case Reason::TargetFailed:
         return true;
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -360,7 +360,7 @@
     {
         const auto result = send(address, request);
         runUntil(loop_, [&] { return result->has_value(); });
-        return **result;
+        return *std::move(*result);
     }
 
     unsigned heartbeat(const std::string& path)
