A listing of the store that never ends fails

ObjectStore read pages as long as the store said that there were more, each up to 32 MB, and held them all.

--- a/test/endless-message-test.cc
+++ b/test/endless-message-test.cc
@@ -1,6 +1,6 @@
-// Responses that never end or do not fit, in each of their parts. Guards against a node that buffers them
+// Messages that never end or do not fit, in each of their parts. Guards against a node that buffers them
 // until it exceeds its memory limit and takes the calls of all others with it.
-#include "relay-fixture.h"
+#include "store-fixture.h"
 
 #include "absl/strings/match.h"
 
@@ -273,3 +273,24 @@
     runUntil(one.loop, [&] { return heldResponseBytes(one.node) == 0; });
     BOOST_TEST(one.call(http::verb::get, "/read/large", "fourth").response.result_int() == 200U);
 }
+
+// Guards against a store whose listing always has another page.
+BOOST_AUTO_TEST_CASE(aListingWithoutEndFails)
+{
+    asio::io_context loop;
+    int pages = 0;
+    ScriptedTarget server(loop, ScriptedTarget::Script([&](const Request&) {
+        const std::string body
+            = absl::StrCat(R"({"items":[{"metadata":{"name":"n)", ++pages, R"(","revision":1},"spec":")",
+                std::string(kPieceBytes, 'x'), R"("}],"has_more":true,"at_rev":2})");
+        return TargetResponse { absl::StrCat(
+            "HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
+    }));
+    platform::ObjectStore client(loop, server.address());
+    std::optional<absl::Status> status;
+    client.port().list("nodes", ReadConsistency::Latest,
+        [&](const absl::StatusOr<StoreListing>& listing) { status = listing.status(); });
+    runUntil(loop, [&] { return status.has_value() || pages > 1000; });
+    BOOST_REQUIRE(status.has_value());
+    BOOST_TEST((status->code() == absl::StatusCode::kResourceExhausted));
+}
