A request whose line never ends is rejected; reports of targets are bounded

When the line of a chunk's size, a chunk extension or a trailer exceeded the 64 KB that a connection buffers, nothing was read any more, and the caller waited for the idle timeout (15 s) until its connection was closed without a response. It gets 400 at once now. Bodies at the ports for heartbeats, readiness and operators counted against no budget and could have 64 MB each; they do count now, and heartbeats and readiness checks may have 64 KB.

--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -152,8 +152,12 @@
     }
     if (!wasHeaderDone && parser_->is_header_done() && !parser_->is_done())
         sendContinue();
-    if (!parser_->is_done())
+    if (!parser_->is_done()) {
+        // The parser can't use what it has, and no more is read: for example a chunk's line without end.
+        if (buffer_.size() >= kMaxBufferedBytes)
+            refuse(http::status::bad_request, "a line of the body is too long");
         return false;
+    }
     auto incoming = std::make_shared<IncomingRequest>();
     incoming->request = parser_->release();
     useOriginForm(incoming->request);
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -24,6 +24,9 @@
 /// Part of the stop time reserved for the exit of the process.
 constexpr absl::Duration kExitReserve = absl::Milliseconds(400);
 
+/// Largest body of a heartbeat or of a readiness check.
+constexpr std::uint64_t kMaxReportBytes = 64U << 10;
+
 /// Limits of the ports that callers don't use.
 ListenerLimits internalPortLimits()
 {
@@ -33,6 +36,14 @@
     return limits;
 }
 
+/// Limits of the ports for the local target's reports and for readiness checks.
+ListenerLimits reportPortLimits()
+{
+    ListenerLimits limits = internalPortLimits();
+    limits.bodyBytes = kMaxReportBytes;
+    return limits;
+}
+
 } // namespace
 
 RelayNode::Ports::Ports(asio::io_context& loop, RelaySettings nodeSettings)
@@ -82,17 +93,19 @@
           [this](const IncomingRequestPtr& incoming) { onPeerRequest(incoming); }, &state_.bufferedBodies)
     , tickTimer_(loop)
 {
-    const auto openListener = [&](std::optional<HttpListener>& listener,
-                                  std::optional<Tcp::acceptor>& acceptor, RequestHandler handler) {
-        if (acceptor)
-            listener.emplace(loop, *std::move(acceptor), std::move(handler)).setLimits(internalPortLimits());
-    };
+    const auto openListener
+        = [&](std::optional<HttpListener>& listener, std::optional<Tcp::acceptor>& acceptor,
+              const ListenerLimits& limits, RequestHandler handler) {
+              if (acceptor)
+                  listener.emplace(loop, *std::move(acceptor), std::move(handler), &state_.bufferedBodies)
+                      .setLimits(limits);
+          };
     callerListener_.onRejected = [this](const RejectedRequest& rejected) { recordRejectedRequest(rejected); };
-    openListener(readyListener_, ports.ready,
+    openListener(readyListener_, ports.ready, reportPortLimits(),
         [this](const IncomingRequestPtr& incoming) { onReadyRequest(incoming); });
-    openListener(heartbeatListener_, ports.heartbeats,
+    openListener(heartbeatListener_, ports.heartbeats, reportPortLimits(),
         [this](const IncomingRequestPtr& incoming) { onTargetRequest(incoming); });
-    openListener(operatorListener_, ports.operators,
+    openListener(operatorListener_, ports.operators, internalPortLimits(),
         [this](const IncomingRequestPtr& incoming) { onOperatorRequest(incoming); });
     ListenerLimits callerLimits;
     callerLimits.headerTimeout = state_.settings.headerTimeout;
--- a/test/endless-message-test.cc
+++ b/test/endless-message-test.cc
@@ -191,6 +191,25 @@
     return std::stoull(metrics.substr(metrics.find(name) + name.size()));
 }
 
+struct EndlessRequest {
+    const char* name;
+    std::string start;
+};
+
+std::ostream& operator<<(std::ostream& out, const EndlessRequest& request)
+{
+    return out << request.name;
+}
+
+constexpr char kChunkedPost[]
+    = "POST /read/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+const EndlessRequest kEndlessRequests[] = {
+    { "the line of a chunk's size", kChunkedPost },
+    { "a chunk extension", absl::StrCat(kChunkedPost, "5;a=") },
+    { "a trailer line", absl::StrCat(kChunkedPost, "0\r\nX: ") },
+    { "a header line", "GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX: " },
+};
+
 } // namespace
 
 // The call ends with "may have run", the target's connection is closed, and what was held is released.
@@ -274,6 +293,29 @@
     BOOST_TEST(one.call(http::verb::get, "/read/large", "fourth").response.result_int() == 200U);
 }
 
+// Guards against a caller that waits until the idle timeout for a response to a request that can't be read.
+BOOST_DATA_TEST_CASE(anEndlessLineOfARequestIsRejected, boost::unit_test::data::make(kEndlessRequests), part)
+{
+    OneNode one(
+        kRoutes, [](const Request& request) { return TargetResponse { sealedResponse(request, "ok") }; });
+    for (const std::string& address : { one.node.settings.callerAddress, one.node.settings.peerAddress,
+             one.node.settings.heartbeatAddress }) {
+        Tcp::socket socket(one.loop);
+        socket.connect(parseEndpoint(address));
+        const std::string bytes = part.start + std::string(kPieceBytes, '0');
+        asio::async_write(socket, asio::buffer(bytes), [](beast::error_code, std::size_t) {});
+        std::string response(64, '\0');
+        bool isAnswered = false;
+        socket.async_read_some(
+            asio::buffer(response), [&](beast::error_code error, std::size_t) { isAnswered = !error; });
+        runUntil(one.loop, [&] { return isAnswered; });
+        BOOST_TEST(
+            (absl::StartsWith(response, "HTTP/1.1 400") || absl::StartsWith(response, "HTTP/1.1 431")));
+        socket.close();
+    }
+    BOOST_TEST(one.call(http::verb::get, "/read/1", "after").response.result_int() == 200U);
+}
+
 // Guards against a store whose listing always has another page.
 BOOST_AUTO_TEST_CASE(aListingWithoutEndFails)
 {
