A check-in that is not whole names no target

Callers saw bookings that reached a target up to seven seconds after its drain time, and lost those at work when it exited (DRAIN): a check-in of another writer under the target's id, without born, had brought it back into use.

Cause: decodeHeartbeat replaced absent fields by defaults, so the check-in got the lifetime {id, 0}, which is none that has left; the target's own later check-ins were then refused as those of a lifetime that had left.

Now a check-in needs all the fields that PROTOCOL.md lists, of their types, and the decisions accept no heartbeat without a start. The headers between nodes were left as they are.

--- a/include/jackdawwall/target-lifetime.h
+++ b/include/jackdawwall/target-lifetime.h
@@ -13,7 +13,8 @@
 /// One run of a target's process. Two runs may share an id; the later run has the later start time.
 struct Lifetime {
     std::string id;
-    std::uint64_t startedAt = 0; ///< By the target's clock, Unix milliseconds; 0 when not reported.
+    /// By the target's clock, Unix milliseconds. 0 when not reported, which only a leave may omit.
+    std::uint64_t startedAt = 0;
 
     friend bool operator==(const Lifetime&, const Lifetime&) = default;
 };
@@ -52,7 +53,7 @@
     bool isNewLifetime = false;
 };
 
-/// Processes a heartbeat.
+/// Processes a heartbeat. One without a start is not accepted, as it can't be attributed to a lifetime.
 TargetChange recordHeartbeat(TargetState& state, const Heartbeat& heartbeat, absl::Time now);
 
 /// Processes the leave message of a lifetime. If `startedAt` is 0, the lifetime is identified by its id
--- a/soak/target.cc
+++ b/soak/target.cc
@@ -273,6 +273,8 @@
     body["born"] = Json::UInt64(startedMs_);
     body["service"] = service_;
     body["address"] = address();
+    body["zone"] = "here";
+    body["version"] = "v1";
     body["state"] = state_ == State::Ready ? "ready" : "draining";
     body["sequence"] = Json::UInt64(++sequence_);
     body["capacity"] = kSlots;
--- a/src/relay/peer-message.cc
+++ b/src/relay/peer-message.cc
@@ -2,6 +2,10 @@
 
 #include "adapter/json-reader.h"
 
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
 namespace jackdawwall::relay {
 namespace {
 
@@ -31,14 +35,19 @@
 /// Throws Json::Exception if a value has the wrong type, as do all decoders below.
 Member decodeMember(const Json::Value& value)
 {
+    for (const char* key : { "address", "incarnation", "status", "service", "dataCentre", "isServing" }) {
+        if (value[key].isNull())
+            throw Json::RuntimeError(absl::StrCat("member without ", key));
+    }
     Member member;
     member.peerAddress = value["address"].asString();
     member.incarnation = value["incarnation"].asUInt64();
-    const std::string status = value["status"].asString();
-    for (const MemberStatus candidate : kMemberStatuses) {
-        if (toText(candidate) == status)
-            member.status = candidate;
-    }
+    const std::string statusText = value["status"].asString();
+    const auto status = std::find_if(kMemberStatuses.begin(), kMemberStatuses.end(),
+        [&](MemberStatus candidate) { return toText(candidate) == statusText; });
+    if (status == kMemberStatuses.end())
+        throw Json::RuntimeError(absl::StrCat("unknown status ", statusText));
+    member.status = *status;
     member.service = value["service"].asString();
     member.dataCentre = value["dataCentre"].asString();
     member.isServing = value["isServing"].asBool();
@@ -53,6 +62,12 @@
 
 PeerMessage decodeMessage(const Json::Value& value)
 {
+    for (const char* key : { "run", "upTo", "heardUpTo", "version" }) {
+        if (value[key].isNull())
+            throw Json::RuntimeError(absl::StrCat("message without ", key));
+    }
+    if (!value["members"].isArray())
+        throw Json::RuntimeError("members are not an array");
     PeerMessage message;
     message.runId = value["run"].asString();
     message.sender = decodeMember(value["from"]);
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -42,6 +42,10 @@
         member.leftTarget = reader.text("leftTarget", "");
         member.leftStartedAt = static_cast<std::uint64_t>(
             reader.integer("leftStartedAt", 0, 0, std::numeric_limits<std::int64_t>::max()));
+        if (member.peerAddress.empty())
+            reader.addFinding("address", "is missing");
+        if (member.leftTarget.empty() != (member.leftStartedAt == 0))
+            reader.addFinding("leftTarget", "needs leftStartedAt, and the reverse");
     }
     if (!findings.empty()) {
         logEvent(LogLevel::Warning, "node-record-unreadable",
--- a/src/target-lifetime.cc
+++ b/src/target-lifetime.cc
@@ -12,13 +12,13 @@
         return false;
     if (lifetime == *state.lastLeft)
         return true;
-    return lifetime.startedAt != 0 && lifetime.startedAt < state.lastLeft->startedAt;
+    return lifetime.startedAt < state.lastLeft->startedAt;
 }
 
 /// True when `lifetime` started before the current one.
 bool isOlder(const TargetState& state, const Lifetime& lifetime)
 {
-    return lifetime.startedAt != 0 && lifetime.startedAt < state.lifetime.startedAt;
+    return lifetime.startedAt < state.lifetime.startedAt;
 }
 
 void updateLastLeft(TargetState& state, const Lifetime& lifetime)
@@ -31,6 +31,8 @@
 
 TargetChange recordHeartbeat(TargetState& state, const Heartbeat& heartbeat, absl::Time now)
 {
+    if (heartbeat.lifetime.startedAt == 0)
+        return {};
     const bool isSame = state.phase != TargetPhase::Unknown && heartbeat.lifetime == state.lifetime;
     if (!isSame && (isOlder(state, heartbeat.lifetime) || hasLeft(state, heartbeat.lifetime)))
         return {};
--- a/test/platform-decode-test.cc
+++ b/test/platform-decode-test.cc
@@ -1,8 +1,11 @@
 // Decoders of the platform's documents: valid input, rejected input, and seeded mutations of valid input.
 #include "decode.h"
 
+#include "adapter/json-reader.h"
 #include "relay/peer-message.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -58,8 +61,30 @@
     { "heartbeat&of=", kHeartbeat },
     { "other&of=i-1", kHeartbeat },
     { "leave&of=i-1", R"({"born":{}})" },
+    { "leave&of=i-1", R"({"born":0})" },
+    { "leave&of=i-1", R"({"born":null})" },
+    { "leave&of=i-1", R"({"born":)" },
+    { "leave&of=i-1", "[]" },
+    { "leave&of=i-1", "gone" },
 };
 
+/// A heartbeat in which a field is replaced; an empty value removes the field.
+std::string heartbeatWith(const std::string& key, const std::string& value)
+{
+    std::vector<Finding> findings;
+    Json::Value heartbeat = *parseJson({ "heartbeat", kHeartbeat, &findings });
+    heartbeat.removeMember(key);
+    std::string text = canonicalJson(heartbeat);
+    if (!value.empty())
+        text.insert(1, "\"" + key + "\":" + value + ",");
+    return text;
+}
+
+const char* const kHeartbeatFields[]
+    = { "service", "address", "zone", "version", "capacity", "state", "cold_left_ms", "sequence", "born" };
+/// Values that no field of a heartbeat may have.
+const char* const kInvalidValues[] = { "", "null", "true", "[]", "{}", "\"\"", "-1", "1e300", "0.5" };
+
 struct InvalidConfiguration {
     const char* text;
 };
@@ -74,6 +99,12 @@
     { "7" },
     { "{\"version\":7,\"routes\":[" },
     { R"({"version":"seven"})" },
+    { R"({"routes":[]})" },
+    { R"({"version":0,"routes":[]})" },
+    { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","kind":"safe","service":"s"}]})" },
+    { R"({"version":7,"routes":[{"name":"a","prefix":"/","kind":"safe","timeout_ms":1,"service":"s"}]})" },
+    { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","kind":"safe","timeout_ms":1}]})" },
+    { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","timeout_ms":1,"service":"s"}]})" },
     { R"({"version":7,"routes":[{"name":[],"host":"a"}]})" },
     { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","timeout_ms":"long"}]})" },
     { R"({"version":7,"routes":[],"limits":{"max_body_bytes":-1}})" },
@@ -130,6 +161,56 @@
     BOOST_TEST((message.kind == TargetMessage::Kind::Unreadable));
 }
 
+// Guards against a message of another writer that passes for a report of the target: without its start, the
+// target's lifetime would be taken for a new one that has not left.
+BOOST_DATA_TEST_CASE(aHeartbeatNeedsAllItsFields,
+    boost::unit_test::data::make(kHeartbeatFields) * boost::unit_test::data::make(kInvalidValues), field,
+    value)
+{
+    const std::string body = heartbeatWith(field, value);
+    const std::string valid = absl::StrCat(field, "=", value);
+    const TargetMessage message = decodeTargetMessage(makeRequest("heartbeat&of=i-1", body));
+    if (valid != "cold_left_ms=0.5" && valid != "cold_left_ms=1e300")
+        BOOST_TEST((message.kind == TargetMessage::Kind::Unreadable), body);
+}
+
+struct InvalidPeerMessage {
+    const char* part; ///< Of a valid message.
+    const char* replacement;
+};
+
+std::ostream& operator<<(std::ostream& out, const InvalidPeerMessage& invalid)
+{
+    return out << invalid.part << " -> " << invalid.replacement;
+}
+
+const InvalidPeerMessage kInvalidPeerMessages[] = {
+    { "\"status\":\"alive\"", "\"status\":\"well\"" },
+    { ",\"status\":\"alive\"", "" },
+    { "\"isServing\":true,", "" },
+    { "\"incarnation\":0,", "" },
+    { "\"members\":[", "\"members\":7,\"x\":[" },
+    { "\"upTo\":0,", "" },
+    { ",\"version\":0", "" },
+};
+
+// Guards against half a message of another node: an unknown status would mean alive, and a missing number 0.
+BOOST_DATA_TEST_CASE(
+    aPeerMessageNeedsAllItsFields, boost::unit_test::data::make(kInvalidPeerMessages), invalid)
+{
+    relay::PeerMessage message;
+    message.runId = "r";
+    message.sender.peerAddress = "127.0.0.1:1";
+    message.members = { message.sender };
+    std::string text = relay::encodePeerMessage(message);
+    BOOST_REQUIRE(relay::decodePeerMessage(text).ok());
+    const std::string part = invalid.part;
+    const std::size_t position = text.find(part);
+    BOOST_REQUIRE_MESSAGE(position != std::string::npos, text);
+    text.replace(position, part.size(), invalid.replacement);
+    BOOST_TEST(!relay::decodePeerMessage(text).ok(), text);
+}
+
 BOOST_AUTO_TEST_CASE(decodesConfiguration)
 {
     const auto table = decodeConfiguration(kConfiguration);
--- a/test/target-lifetime-test.cc
+++ b/test/target-lifetime-test.cc
@@ -95,6 +95,16 @@
     BOOST_TEST(isServing(state));
 }
 
+BOOST_AUTO_TEST_CASE(aHeartbeatWithoutAStartIsIgnored)
+{
+    TargetState state = stateWithHistory();
+    recordHeartbeat(state, heartbeat("b", 200, 5), kNow);
+    recordHeartbeat(state, heartbeat("b", 200, 6, TargetPhase::Leaving), kNow);
+    BOOST_TEST(!recordHeartbeat(state, heartbeat("b", 0, 7), kNow).isAccepted);
+    BOOST_TEST(!isServing(state));
+    BOOST_TEST(state.lifetime.startedAt == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(aTargetRestartedUnderItsIdIsANewLifetime)
 {
     TargetState state = stateWithHistory();
