A leave that was acknowledged is kept by the store and by other nodes

Callers saw bookings at a target that had left, and lost those at work when it exited (DRAIN): its leave was acknowledged, then all nodes restarted twice, and a check-in from before the leave brought it back into use.

Cause: an acknowledgement rested on what single processes remember. The registration replaced the node's record by one without the leave; other nodes replaced their copy by the record of the restarted process; a leave was acknowledged as soon as another node knew it, or at once if the same message came again, and a leave that only another node knew was never written to the store. A process was also taken to know its history once any other node had sent it a message, even one that had just started, too.

Now the record is updated by a merge that keeps the newer leave, with the revision as condition, so that a write of an ended process that the store executes late has no effect. Nodes merge leaves the same way. The acknowledgement waits for the store, or for another node if the store takes over 500 ms; a leave that a process learns from others is written to the store; only a node that knows an earlier process tells the history. A leave that names no start, from a target that this process has not heard of, binds all lifetimes that started before it. Callbacks of the store no longer reach a destroyed node (a crash that only tests could meet, found by the new one).

leave-record-test plays 95 orders of leave, restarts of both nodes and a store that goes away and comes back. It omits orders in which the store is away and both nodes restart before it is back: then nobody can know.

--- a/include/jackdawwall/membership.h
+++ b/include/jackdawwall/membership.h
@@ -45,6 +45,10 @@
     friend bool operator==(const Member&, const Member&) = default;
 };
 
+/// Copies the leave of `other`, a record of the same member, if it is newer than the one in `member`. A leave
+/// outlives each process of the node that acknowledged it, so no record may replace it by an older one.
+void keepNewerLeave(Member& member, const Member& other);
+
 struct MembershipOptions {
     absl::Duration suspectTime = absl::Seconds(2); ///< Time until a suspect is declared dead.
     /// Retention of dead and leaving records; longer than a partition.
@@ -80,9 +84,9 @@
 /// Membership of a node that knows only itself.
 MembershipState makeMembership(const Member& self, const MembershipOptions& options, absl::Time now);
 
-/// Merges received records. Returns the members whose record changed. A wrong record of this node itself, for
-/// example one that declares it dead, is refuted with a higher incarnation; this also announces a restart
-/// under the same address.
+/// Merges received records; of two leaves of a member's target the newer one is kept. Returns the members
+/// whose record changed. A wrong record of this node itself, for example one that declares it dead, is
+/// refuted with a higher incarnation; this also announces a restart under the same address.
 std::vector<Member> mergeMembers(MembershipState& state, absl::Span<const Member> received, absl::Time now);
 
 /// Announces that this node is leaving.
--- a/include/jackdawwall/target-lifetime.h
+++ b/include/jackdawwall/target-lifetime.h
@@ -57,8 +57,9 @@
 TargetChange recordHeartbeat(TargetState& state, const Heartbeat& heartbeat, absl::Time now);
 
 /// Processes the leave message of a lifetime. If `startedAt` is 0, the lifetime is identified by its id
-/// alone.
-TargetChange recordLeave(TargetState& state, const Lifetime& lifetime);
+/// alone. A node that has received no heartbeat yet, as after a restart, then takes `timeOfDay` as the latest
+/// possible start.
+TargetChange recordLeave(TargetState& state, const Lifetime& lifetime, absl::Time timeOfDay);
 
 /// Restores a leave that an earlier run of this node acknowledged, as reported by the store or another node.
 TargetChange restoreLeave(TargetState& state, const Lifetime& lifetime);
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -139,8 +139,13 @@
     if (isCreate)
         name = (*body)["metadata"]["name"].asString();
     const bool exists = objects_[kind].contains(name);
-    if (isCreate == exists)
-        return relay::makeTextResponse(exists ? status::conflict : status::not_found, "");
+    if (!isCreate && !exists)
+        return relay::makeTextResponse(status::not_found, "");
+    const Json::Value& condition = (*body)["metadata"]["revision"];
+    if (exists
+        && (isCreate || (condition.isUInt64() && condition.asUInt64() != objects_[kind][name].revision)))
+        return relay::makeJsonResponse(status::conflict,
+            canonicalJson(objectJson(name, objects_[kind][name].revision, objects_[kind][name].content)));
     put(kind, name, (*body)["spec"]);
     return relay::makeJsonResponse(status::ok, canonicalJson(objectJson(name, revision_, (*body)["spec"])));
 }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -136,6 +136,14 @@
 
 } // namespace
 
+void keepNewerLeave(Member& member, const Member& other)
+{
+    if (other.leftTarget.empty() || other.leftStartedAt <= member.leftStartedAt)
+        return;
+    member.leftTarget = other.leftTarget;
+    member.leftStartedAt = other.leftStartedAt;
+}
+
 absl::string_view toText(MemberStatus status)
 {
     return kStatusTexts.at(static_cast<std::size_t>(status));
@@ -157,11 +165,20 @@
     for (const Member& member : received) {
         if (refute(state, member, now))
             continue;
-        const auto current = state.members.find(member.peerAddress);
-        if (current != state.members.end() && !supersedes(member, current->second.member))
+        const auto known = state.members.find(member.peerAddress);
+        if (known == state.members.end()) {
+            storeChange(state, member, now);
+            changed.push_back(member);
+            continue;
+        }
+        const Member current = known->second.member;
+        Member merged = supersedes(member, current) ? member : current;
+        keepNewerLeave(merged, member);
+        keepNewerLeave(merged, current);
+        if (merged == current)
             continue;
-        storeChange(state, member, now);
-        changed.push_back(member);
+        storeChange(state, merged, now);
+        changed.push_back(merged);
     }
     return changed;
 }
--- a/src/node/object-platform.cc
+++ b/src/node/object-platform.cc
@@ -51,19 +51,19 @@
     });
 }
 
-void writeSeedRecord(
-    const ObjectApi& objects, const std::string& key, const StoredItem& item, const ItemDone& done)
+void writeSeedRecord(const ObjectApi& objects, const std::string& key, const std::string& name,
+    const relay::MergeContent& merge, const ItemDone& done)
 {
-    objects.read(key, [objects, key, item, done](const absl::StatusOr<StoredObject>& stored) {
+    objects.read(key, [objects, key, name, merge, done](const absl::StatusOr<StoredObject>& stored) {
         if (!stored.ok() && !absl::IsNotFound(stored.status())) {
             done(stored.status());
             return;
         }
         const StoredObject previous = stored.ok() ? *stored : StoredObject {};
-        objects.write(key, item.content, previous.version,
-            [item, previous, done](const absl::StatusOr<ObjectVersion>& written) {
+        objects.write(key, merge(previous.value), previous.version,
+            [name, previous, done](const absl::StatusOr<ObjectVersion>& written) {
                 if (written.ok())
-                    done(StoredItem { item.name, *written, previous.value, false });
+                    done(StoredItem { name, *written, previous.value, false });
                 else
                     done(written.status());
             });
@@ -110,11 +110,11 @@
               else
                   listSeeds(objects, done);
           };
-    port.store.put
-        = [objects, dataCentre](const relay::StoreKind&, const StoredItem& item, const ItemDone& done) {
-              const std::uint64_t slot = mixBits(stableHash(item.name)) % kSeedSlots;
-              writeSeedRecord(objects, absl::StrCat(kSeedPrefix, dataCentre, "/", slot), item, done);
-          };
+    port.store.update = [objects, dataCentre](const relay::StoreKind&, const std::string& name,
+                            const relay::MergeContent& merge, const ItemDone& done) {
+        const std::uint64_t slot = mixBits(stableHash(name)) % kSeedSlots;
+        writeSeedRecord(objects, absl::StrCat(kSeedPrefix, dataCentre, "/", slot), name, merge, done);
+    };
     port.store.watch
         = [objects](const relay::StoreKind&, relay::StoreRevision after, const WatchTiming& timing,
               const ListingDone& done) { watchCatalogue(objects, after, timing, done); };
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -189,11 +189,17 @@
     std::vector<Member> reported = message->members;
     reported.push_back(message->sender);
     std::optional<Lifetime> left;
+    bool knowsEarlierProcess = false;
     for (const Member& member : reported) {
-        if (member.peerAddress == state_.decisions.membership.self && !member.leftTarget.empty())
+        if (member.peerAddress != state_.decisions.membership.self)
+            continue;
+        // A record that this process did not make comes from an earlier process of this node.
+        knowsEarlierProcess = knowsEarlierProcess || member.incarnation > localMember(state_).incarnation;
+        if (!member.leftTarget.empty())
             left = Lifetime { member.leftTarget, member.leftStartedAt };
     }
-    events_.onPreviousLeave(left);
+    if (left || knowsEarlierProcess)
+        events_.onPreviousLeave(left);
     merge(reported);
     if (!message->configuration.empty())
         events_.onConfiguration(message->configuration, sender);
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -14,8 +14,8 @@
 struct PeerLinkEvents {
     /// The node at `sender` sent a newer configuration.
     std::function<void(const std::string& document, const std::string& sender)> onConfiguration;
-    /// Another node replied with the last leave that an earlier process of this node acknowledged; empty if
-    /// there was none.
+    /// Another node that knows an earlier process of this node sent the last leave that it acknowledged;
+    /// empty if there was none.
     std::function<void(const std::optional<Lifetime>& left)> onPreviousLeave;
 };
 
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -40,13 +40,20 @@
     Stale, ///< May be seconds old, which costs the store less.
 };
 
+/// Returns the new content of an object. `previous` is the current one, empty if there is none. May be called
+/// several times.
+using MergeContent = std::function<std::string(const std::string& previous)>;
+
 struct ObjectStorePort {
     /// All objects of a kind.
     std::function<void(const StoreKind&, ReadConsistency, std::function<void(absl::StatusOr<StoreListing>)>)>
         list;
-    /// Creates or replaces an object. Returns its new revision, and its previous content if it existed.
-    std::function<void(const StoreKind&, const StoredItem&, std::function<void(absl::StatusOr<StoredItem>)>)>
-        put;
+    /// Creates an object, or replaces the content that MergeContent was called with. A write that was delayed
+    /// so that another one came first has no effect. Returns the new revision, and the previous content if
+    /// the object existed.
+    std::function<void(const StoreKind&, const std::string& name, const MergeContent&,
+        std::function<void(absl::StatusOr<StoredItem>)>)>
+        update;
     /// Waits for changes after a revision; returns an empty listing if there was none. OutOfRange if the
     /// store no longer has that history, DeadlineExceeded if it did not respond.
     std::function<void(
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kConnectionCloseTimeout = absl::Milliseconds(400);
 /// Time before the forced stop at which all pending requests get a response.
 constexpr absl::Duration kFinalResponseTime = absl::Milliseconds(150);
+/// How long an acknowledgement of a leave waits for the store before another node is enough. The target waits
+/// for a second.
+constexpr absl::Duration kStoreAcknowledgeTime = absl::Milliseconds(500);
 /// Part of the stop time reserved for the exit of the process.
 constexpr absl::Duration kExitReserve = absl::Milliseconds(400);
 
@@ -274,7 +277,7 @@
     }
     TargetChange change;
     if (message.kind == TargetMessage::Kind::Leave)
-        change = recordLeave(state_.target, message.heartbeat.lifetime);
+        change = recordLeave(state_.target, message.heartbeat.lifetime, absl::Now());
     else
         change = recordHeartbeat(state_.target, message.heartbeat, steadyNow());
     const bool wasServing = localMember(state_).isServing;
@@ -286,21 +289,27 @@
         onTargetChanged();
     }
     if (isLeaving)
-        onLeave(change, incoming);
+        onLeave(incoming);
     else
         incoming->respond(makeJsonResponse(http::status::ok, "{}"));
 }
 
-/// Acknowledges a leave once the store or another node can report it to this node after a restart.
-void RelayNode::onLeave(const TargetChange& change, const IncomingRequestPtr& incoming)
+/// Acknowledges a leave once the store can report it to this node after a restart. Another node that knows it
+/// is enough if the store does not respond in time: the leave is stored when the store responds again.
+void RelayNode::onLeave(const IncomingRequestPtr& incoming)
 {
-    if (!change.isAccepted) {
-        incoming->respond(makeJsonResponse(http::status::ok, "{}"));
+    const auto acknowledge = [incoming] { incoming->respond(makeJsonResponse(http::status::ok, "{}")); };
+    if (!state_.target.lastLeft) { // Of an earlier lifetime, when a later one is known.
+        acknowledge();
         return;
     }
-    const auto acknowledge = [incoming] { incoming->respond(makeJsonResponse(http::status::ok, "{}")); };
-    storeSync_.recordLeave(acknowledge);
-    peerLink_.announce(acknowledge);
+    updateLocalMember(0); // The leave may concern a lifetime that sent no heartbeat to this process.
+    storeSync_.recordLeave(*state_.target.lastLeft, acknowledge);
+    auto storeTimer
+        = std::make_shared<asio::steady_timer>(loop_, absl::ToChronoMicroseconds(kStoreAcknowledgeTime));
+    peerLink_.announce([acknowledge, storeTimer] {
+        storeTimer->async_wait([acknowledge, storeTimer](beast::error_code) { acknowledge(); });
+    });
 }
 
 void RelayNode::onTargetChanged()
@@ -331,6 +340,8 @@
     if (left)
         restoreLeave(state_.target, *left);
     onTargetChanged();
+    if (state_.target.lastLeft) // Known to another node, but perhaps not to the store.
+        storeSync_.recordLeave(*state_.target.lastLeft, [] {});
 }
 
 void RelayNode::onRegistered(StoreRevision revision)
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -61,7 +61,7 @@
     void onReadyRequest(const IncomingRequestPtr& incoming) const;
     void onOperatorRequest(const IncomingRequestPtr& incoming);
     void onTargetRequest(const IncomingRequestPtr& incoming);
-    void onLeave(const TargetChange& change, const IncomingRequestPtr& incoming);
+    void onLeave(const IncomingRequestPtr& incoming);
     void onPreviousLeave(const std::optional<Lifetime>& left);
     void onRegistered(StoreRevision revision);
     void onStoreReachabilityChanged();
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -79,10 +79,10 @@
 void StoreSync::runAfter(absl::Duration delay, std::function<void()> step)
 {
     auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(delay));
-    timer->async_wait([timer, step = std::move(step)](beast::error_code error) {
+    timer->async_wait(whileAlive([timer, step = std::move(step)](beast::error_code error) {
         if (!error)
             step();
-    });
+    }));
 }
 
 void StoreSync::recordCall(absl::string_view call, absl::Time startedAt, const absl::Status& status)
@@ -125,9 +125,13 @@
     runAfter(delay, std::move(attempt));
 }
 
-std::string StoreSync::encodeNodeRecord() const
+std::string StoreSync::encodeNodeRecord(const std::string& previous) const
 {
-    const Member& self = localMember(state_);
+    Member self = localMember(state_);
+    const auto replaced
+        = previous.empty() ? std::nullopt : decodeMember({ state_.settings.process, 0, previous, false });
+    if (replaced && replaced->peerAddress == self.peerAddress) // Nodes may share a record.
+        keepNewerLeave(self, *replaced);
     Json::Value value;
     value["address"] = self.peerAddress;
     value["service"] = self.service;
@@ -142,15 +146,28 @@
     return canonicalJson(value);
 }
 
-void StoreSync::putNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done)
+void StoreSync::updateNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done)
 {
-    port_.store.put(
-        port_.nodeKind, { state_.settings.process, 0, encodeNodeRecord(), false }, std::move(done));
+    auto written = std::make_shared<std::string>();
+    port_.store.update(
+        port_.nodeKind, state_.settings.process,
+        [this, written, lifetime = std::weak_ptr(lifetime_)](const std::string& previous) {
+            return lifetime.expired() ? previous : *written = encodeNodeRecord(previous);
+        },
+        whileAlive([this, written, done = std::move(done)](const absl::StatusOr<StoredItem>& stored) {
+            if (stored.ok()) {
+                const auto record = decodeMember({ state_.settings.process, 0, *written, false });
+                storedLeave_ = record && !record->leftTarget.empty()
+                    ? std::optional(Lifetime { record->leftTarget, record->leftStartedAt })
+                    : std::nullopt;
+            }
+            done(stored);
+        }));
 }
 
 void StoreSync::registerNode()
 {
-    putNodeRecord([this, startedAt = steadyNow()](absl::StatusOr<StoredItem> stored) {
+    updateNodeRecord([this, startedAt = steadyNow()](const absl::StatusOr<StoredItem>& stored) {
         recordCall("register", startedAt, stored.status());
         if (!stored.ok()) {
             retryLater(nodeFailures_, stored.status(), [this] { registerNode(); });
@@ -160,6 +177,7 @@
         recordSuccess(stored->revision);
         registeredRevision_ = stored->revision;
         applyPreviousRecord(*stored);
+        onRecordWritten();
         listNodes(0);
     });
 }
@@ -184,7 +202,7 @@
 {
     const bool mayBeStale = staleReads < kMaxStaleReads;
     port_.store.list(port_.nodeKind, mayBeStale ? ReadConsistency::Stale : ReadConsistency::Latest,
-        [this, staleReads, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        whileAlive([this, staleReads, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("list-nodes", startedAt, listing.status());
             if (!listing.ok()) {
                 retryLater(nodeFailures_, listing.status(), [this, staleReads] { listNodes(staleReads); });
@@ -193,7 +211,7 @@
             nodeFailures_ = 0;
             recordSuccess(listing->revision);
             onNodes(*listing, staleReads);
-        });
+        }));
 }
 
 void StoreSync::onNodes(const StoreListing& listing, int staleReads)
@@ -210,17 +228,45 @@
         runAfter(kStaleReadInterval, [this, staleReads] { listNodes(staleReads + 1); });
 }
 
-void StoreSync::recordLeave(const std::function<void()>& onStored)
+void StoreSync::recordLeave(const Lifetime& left, std::function<void()> onStored)
+{
+    pendingLeaves_.push_back({ left, std::move(onStored) });
+    // The registration writes the leave as well.
+    if (registeredRevision_ > 0 && !isWritingLeave_)
+        onRecordWritten();
+}
+
+bool StoreSync::isStored(const Lifetime& left) const
+{
+    return storedLeave_ && storedLeave_->startedAt >= left.startedAt;
+}
+
+void StoreSync::onRecordWritten()
+{
+    std::vector<PendingLeave> stored;
+    std::vector<PendingLeave> missing;
+    for (PendingLeave& pending : std::exchange(pendingLeaves_, {}))
+        (isStored(pending.lifetime) ? stored : missing).push_back(std::move(pending));
+    pendingLeaves_ = std::move(missing);
+    if (!pendingLeaves_.empty())
+        writeLeave();
+    for (const PendingLeave& pending : stored)
+        pending.onStored();
+}
+
+void StoreSync::writeLeave()
 {
-    putNodeRecord([this, onStored, startedAt = steadyNow()](const absl::StatusOr<StoredItem>& result) {
+    isWritingLeave_ = true;
+    updateNodeRecord([this, startedAt = steadyNow()](const absl::StatusOr<StoredItem>& result) {
         recordCall("record-leave", startedAt, result.status());
         if (!result.ok()) {
-            retryLater(nodeFailures_, result.status(), [this, onStored] { recordLeave(onStored); });
+            retryLater(nodeFailures_, result.status(), [this] { writeLeave(); });
             return;
         }
         nodeFailures_ = 0;
         recordSuccess(result->revision);
-        onStored();
+        isWritingLeave_ = false;
+        onRecordWritten();
     });
 }
 
@@ -257,7 +303,7 @@
 void StoreSync::listConfiguration()
 {
     port_.store.list(port_.configurationKind, ReadConsistency::Latest,
-        [this, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        whileAlive([this, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("list-configuration", startedAt, listing.status());
             nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
             if (!listing.ok()) {
@@ -266,7 +312,7 @@
             }
             onListing(*listing);
             watchConfiguration(listing->revision, true);
-        });
+        }));
 }
 
 void StoreSync::watchConfiguration(StoreRevision after, bool isAligned)
@@ -277,7 +323,7 @@
     }
     port_.store.watch(port_.configurationKind, after,
         planWatch(state_.decisions.membership, watcherOptions(), isAligned),
-        [this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        whileAlive([this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("watch", startedAt, listing.status());
             if (listing.ok()) {
                 onListing(*listing);
@@ -289,7 +335,7 @@
             else
                 retryLater(configurationFailures_, listing.status(),
                     [this, after] { watchConfiguration(after, false); });
-        });
+        }));
 }
 
 void StoreSync::onListing(const StoreListing& listing)
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -7,6 +7,9 @@
 #include "relay/relay-state.h"
 
 #include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
 
 namespace jackdawwall::relay {
 
@@ -27,12 +30,23 @@
     StoreSync(RelayState& state, const PlatformPort& port, StoreSyncEvents events);
 
     void start();
-    /// Records the latest lifetime that left; `onStored` is called once the store has accepted it.
-    void recordLeave(const std::function<void()>& onStored);
+    /// Makes the store hold the newest leave of the local target, or a later one. `onStored` is called once
+    /// it does.
+    void recordLeave(const Lifetime& left, std::function<void()> onStored);
 
 private:
+    /// A leave that the store does not hold yet.
+    struct PendingLeave {
+        Lifetime lifetime;
+        std::function<void()> onStored;
+    };
+
     void registerNode();
     void applyPreviousRecord(const StoredItem& stored);
+    void writeLeave();
+    bool isStored(const Lifetime& left) const;
+    /// Reports the leaves that the store holds now and writes the others.
+    void onRecordWritten();
     /// Lists the nodes with stale reads until one is as recent as this node's registration. Of two nodes, the
     /// one that registers later then knows the other.
     void listNodes(int staleReads);
@@ -46,7 +60,8 @@
     /// See planWatch for `isAligned`.
     void watchConfiguration(StoreRevision after, bool isAligned);
     void onListing(const StoreListing& listing);
-    void putNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done);
+    /// Writes this node's record with the newest leave that this process or the store knows.
+    void updateNodeRecord(std::function<void(absl::StatusOr<StoredItem>)> done);
     /// Runs `attempt` after a delay that grows with each consecutive failure.
     void retryLater(int& failures, const absl::Status& status, std::function<void()> attempt);
     /// Logs and counts the result of a call to the store, such as "watch", that began at `startedAt`.
@@ -54,15 +69,29 @@
     void runAfter(absl::Duration delay, std::function<void()> step);
     void recordSuccess(StoreRevision revision);
     void recordFailure(const absl::Status& status);
-    std::string encodeNodeRecord() const;
+    std::string encodeNodeRecord(const std::string& previous) const;
     WatcherOptions watcherOptions() const;
     bool isWatcher() const;
 
+    /// Returns a callback that does nothing once this object is destroyed.
+    template <typename Callback> auto whileAlive(Callback callback) const
+    {
+        return
+            [lifetime = std::weak_ptr(lifetime_), callback = std::move(callback)](const auto&... arguments) {
+                if (!lifetime.expired())
+                    callback(arguments...);
+            };
+    }
+
     RelayState& state_;
     const PlatformPort& port_;
+    std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(); ///< Expires with this object.
     StoreSyncEvents events_;
     std::string runId_;
-    StoreRevision registeredRevision_ = 0;
+    StoreRevision registeredRevision_ = 0; ///< 0 before this node is registered.
+    std::optional<Lifetime> storedLeave_; ///< Newest leave that the store is known to hold.
+    std::vector<PendingLeave> pendingLeaves_;
+    bool isWritingLeave_ = false;
     int nodeFailures_ = 0; ///< Consecutive, as the two counters below.
     int configurationFailures_ = 0;
     int storeFailures_ = 0; ///< Of all calls to the store.
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -287,6 +287,9 @@
 
 UpstreamPool::~UpstreamPool()
 {
+    const auto active = std::exchange(active_, {});
+    for (UpstreamConnection* connection : active)
+        connection->cancel();
     const auto idle = std::exchange(idle_, {});
     for (const auto& [endpoint, connections] : idle) {
         for (const auto& connection : connections)
@@ -332,16 +335,17 @@
     if (connection->exchanges_ == 1)
         timed->repetition.reset();
     timed->timer.expires_after(absl::ToChronoMicroseconds(timed->repetition ? silenceTimeout : timeout));
-    timed->timer.async_wait([this, timed, connection](beast::error_code error) {
-        if (error || !timed->done)
-            return;
-        ExchangeResult timedOut;
-        timedOut.isTimedOut = true;
-        timedOut.isReusedConnection = connection->exchanges_ > 1;
-        connection->cancel();
-        closeUnprovenSince(timed->endpoint, timed->startedAt);
-        finishTimed(*timed, std::move(timedOut));
-    });
+    timed->timer.async_wait(
+        [this, timed, connection, lifetime = std::weak_ptr(lifetime_)](beast::error_code error) {
+            if (error || !timed->done || lifetime.expired())
+                return;
+            ExchangeResult timedOut;
+            timedOut.isTimedOut = true;
+            timedOut.isReusedConnection = connection->exchanges_ > 1;
+            connection->cancel();
+            closeUnprovenSince(timed->endpoint, timed->startedAt);
+            finishTimed(*timed, std::move(timedOut));
+        });
     return connection;
 }
 
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -165,6 +165,7 @@
     ByteBudget* responseBudget_;
     std::uint64_t opened_ = 0;
     absl::flat_hash_set<UpstreamConnection*> active_; ///< Connections with an exchange in progress.
+    std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(); ///< Expires with this object.
     std::map<Tcp::endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
 };
 
--- a/src/target-lifetime.cc
+++ b/src/target-lifetime.cc
@@ -10,9 +10,7 @@
 {
     if (!state.lastLeft)
         return false;
-    if (lifetime == *state.lastLeft)
-        return true;
-    return lifetime.startedAt < state.lastLeft->startedAt;
+    return lifetime == *state.lastLeft || lifetime.startedAt < state.lastLeft->startedAt;
 }
 
 /// True when `lifetime` started before the current one.
@@ -23,7 +21,7 @@
 
 void updateLastLeft(TargetState& state, const Lifetime& lifetime)
 {
-    if (!state.lastLeft || lifetime.startedAt >= state.lastLeft->startedAt)
+    if (lifetime.startedAt != 0 && (!state.lastLeft || lifetime.startedAt >= state.lastLeft->startedAt))
         state.lastLeft = lifetime;
 }
 
@@ -59,13 +57,15 @@
     return change;
 }
 
-TargetChange recordLeave(TargetState& state, const Lifetime& lifetime)
+TargetChange recordLeave(TargetState& state, const Lifetime& lifetime, absl::Time timeOfDay)
 {
     const bool isCurrent = lifetime.id == state.lifetime.id
         && (lifetime.startedAt == 0 || lifetime.startedAt >= state.lifetime.startedAt);
     Lifetime left = lifetime;
     if (isCurrent && left.startedAt == 0)
         left.startedAt = state.lifetime.startedAt;
+    if (state.phase == TargetPhase::Unknown && left.startedAt == 0) // It started before it left.
+        left.startedAt = static_cast<std::uint64_t>(absl::ToUnixMillis(timeOfDay));
     updateLastLeft(state, left);
     if (!isCurrent || state.phase != TargetPhase::Ready)
         return { true, false, false };
--- /dev/null
+++ b/test/leave-record-test.cc
@@ -0,0 +1,195 @@
+// A leave that was acknowledged, after restarts of nodes in every order and with the store away meanwhile.
+// Guards against a target that gets work again because the only copy of its leave was lost or replaced.
+#include "store-fixture.h"
+
+#include "absl/strings/match.h"
+
+#include <boost/test/data/test_case.hpp>
+
+using namespace jackdawwall;
+using namespace jackdawwall::relay;
+using namespace jackdawwall::relay::test;
+
+namespace {
+
+constexpr char kRoutes[] = "5;book a.example /book/ books unsafe 3000 1";
+
+/// What happens to the nodes and the store.
+enum Event : char {
+    Leave = 'L', ///< The target leaves; the next event comes after the acknowledgement.
+    RestartNode = 'N', ///< The node beside the target.
+    RestartOther = 'O', ///< The other node.
+    StoreDown = 'D',
+    StoreUp = 'U',
+};
+
+/// All orders of events in which the store goes down before it comes up. Omits those in which both nodes
+/// restart while the leave is nowhere else, as the store was down when it was acknowledged.
+std::vector<std::string> ordersOf(std::string events)
+{
+    std::vector<std::string> orders;
+    std::sort(events.begin(), events.end());
+    do {
+        const std::size_t down = events.find(StoreDown);
+        const std::size_t up = events.find(StoreUp);
+        const std::size_t leave = events.find(Leave);
+        if (down > up)
+            continue;
+        const bool isStoredAtOnce = leave < down || leave > up;
+        const std::string whileDown = isStoredAtOnce ? "" : events.substr(leave, up - leave);
+        if (!absl::StrContains(whileDown, RestartNode) || !absl::StrContains(whileDown, RestartOther))
+            orders.push_back(events);
+    } while (std::next_permutation(events.begin(), events.end()));
+    return orders;
+}
+
+std::vector<std::string> allOrders()
+{
+    std::vector<std::string> orders = ordersOf("DLNNU");
+    for (const std::string& order : ordersOf("DLNOU"))
+        orders.push_back(order);
+    orders.insert(orders.end(), { "LNN", "LNON", "LONNO", "LNNN", "NLN", "NLNN", "ONLNON" });
+    return orders;
+}
+
+struct Fleet {
+    Fleet()
+    {
+        store.set("configuration", "main", kRoutes);
+        node.start();
+        other.start();
+        BOOST_REQUIRE_EQUAL(node.heartbeat("/ready/t1/100/1"), 200U);
+        runUntil(loop, [&] { return knowsEachOther(); });
+    }
+
+    bool knowsEachOther() const { return node.node->memberCount() == 2 && other.node->memberCount() == 2; }
+
+    void restart(TestNode& restarted)
+    {
+        restarted.node.reset();
+        restarted.start();
+        // With the store away, nodes find each other through the one that did not restart.
+        runUntil(loop, [&] { return knowsEachOther() && isHeard(restarted); });
+    }
+
+    /// True when the node has heard from the store or the other node.
+    bool isHeard(TestNode& restarted) const { return restarted.node->configurationVersion() > 0; }
+
+    void play(char event)
+    {
+        switch (event) {
+        case Leave:
+            BOOST_REQUIRE_EQUAL(node.heartbeat("/leave/t1/100/0"), 200U);
+            hasLeft = true;
+            break;
+        case RestartNode:
+            restart(node);
+            break;
+        case RestartOther:
+            restart(other);
+            break;
+        case StoreDown:
+            store.isUnavailable = true;
+            break;
+        default:
+            store.isUnavailable = false;
+            runUntil(loop, [&] { return !hasLeft || isLeaveStored(); });
+        }
+    }
+
+    bool isLeaveStored() { return absl::StrContains(store.content("nodes", "n1"), R"("leftTarget":"t1")"); }
+
+    unsigned book()
+    {
+        return other
+            .sendAndWait(other.settings.callerAddress, callerRequest(http::verb::post, "/book/1", "r"))
+            .response.result_int();
+    }
+
+    void awaitBooking()
+    {
+        runUntil(loop, [&] { return book() == 200U; });
+    }
+
+    asio::io_context loop;
+    MemoryStore store { loop };
+    ScriptedTarget target { loop, ScriptedTarget::Script([](const Request& request) {
+                               return TargetResponse { sealedResponse(request, "ok") };
+                           }) };
+    TestNode node { loop, store, "n1", "books", target.address() };
+    TestNode other { loop, store, "n2", "shop", kUnusedAddress };
+    bool hasLeft = false;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(aLeaveOutlivesEveryOrderOfEvents, boost::unit_test::data::make(allOrders()), order)
+{
+    Fleet fleet;
+    for (const char event : order)
+        fleet.play(event);
+    BOOST_TEST(fleet.isLeaveStored());
+    // Sent before the leave, delivered now.
+    BOOST_REQUIRE_EQUAL(fleet.node.heartbeat("/ready/t1/100/8"), 200U);
+    BOOST_REQUIRE_EQUAL(fleet.node.heartbeat("/ready/t1/100/9"), 200U);
+    BOOST_TEST(!fleet.node.node->self().isServing);
+    BOOST_TEST(fleet.book() == 503U);
+    BOOST_TEST(fleet.target.requests.empty());
+    BOOST_REQUIRE_EQUAL(fleet.node.heartbeat("/ready/t2/200/1"), 200U);
+    fleet.awaitBooking();
+}
+
+// A write of an ended process that the store executes late, when a later process has recorded the leave.
+BOOST_AUTO_TEST_CASE(aDelayedWriteDoesNotReplaceALaterOne)
+{
+    asio::io_context loop;
+    HttpStore server(loop);
+    platform::ObjectStore early(loop, server.address());
+    platform::ObjectStore late(loop, server.address());
+    std::string seenByDelayed;
+    const auto update = [&](platform::ObjectStore& client, const MergeContent& merge) {
+        bool isDone = false;
+        client.port().update("nodes", "n1", merge, [&](const absl::StatusOr<StoredItem>& stored) {
+            BOOST_TEST(stored.ok());
+            isDone = true;
+        });
+        runUntil(loop, [&] { return isDone; });
+    };
+    update(early, [](const std::string&) { return R"({"run":1})"; });
+    update(late, [](const std::string&) { return R"({"run":2,"leftTarget":"t1"})"; });
+    update(early, [&](const std::string& previous) {
+        seenByDelayed = previous;
+        return R"({"run":3})";
+    });
+    BOOST_TEST(absl::StrContains(seenByDelayed, "leftTarget"), seenByDelayed);
+}
+
+// The leave of a target whose node has not heard from it since its own restart names no start.
+BOOST_AUTO_TEST_CASE(aLeaveByIdAfterARestartBinds)
+{
+    Fleet fleet;
+    fleet.restart(fleet.node);
+    BOOST_REQUIRE_EQUAL(fleet.node.heartbeat("/leave/t1/0/0"), 200U);
+    BOOST_REQUIRE_EQUAL(fleet.node.heartbeat("/ready/t1/100/8"), 200U);
+    BOOST_REQUIRE_EQUAL(fleet.node.heartbeat("/ready/t1/100/9"), 200U);
+    BOOST_TEST(fleet.book() == 503U);
+}
+
+// The same message again must not be acknowledged before the leave is stored.
+BOOST_AUTO_TEST_CASE(aRepeatedLeaveIsNotAcknowledgedEarlier)
+{
+    Fleet fleet;
+    fleet.other.node.reset();
+    fleet.store.isUnavailable = true;
+    const Request draining { http::verb::post, "/draining/t1/100/2", 11 };
+    const auto first = fleet.node.send(fleet.node.settings.heartbeatAddress, draining);
+    const auto second = fleet.node.send(fleet.node.settings.heartbeatAddress, draining);
+    runUntil(fleet.loop, [&] { return !fleet.node.node->self().isServing; });
+    const int failed = fleet.store.failedUpdates;
+    runUntil(fleet.loop, [&] { return fleet.store.failedUpdates > failed + 1; });
+    BOOST_TEST(!first->has_value());
+    BOOST_TEST(!second->has_value());
+    fleet.store.isUnavailable = false;
+    runUntil(fleet.loop, [&] { return first->has_value() && second->has_value(); });
+    BOOST_TEST(fleet.isLeaveStored());
+}
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -170,6 +170,7 @@
 
     bool isUnavailable = false;
     int puts = 0;
+    int failedUpdates = 0;
     std::map<StoreKind, int> reads; ///< Listings by kind.
 
     StoreRevision revision() const { return revision_; }
@@ -189,21 +190,22 @@
                 done(isUnavailable ? absl::StatusOr<StoreListing>(unavailableError()) : listing(kind));
             });
         };
-        result.put = [this](const StoreKind& kind, const StoredItem& item, auto done) {
-            post([this, kind, item, done] {
-                if (isUnavailable) {
-                    done(unavailableError());
-                    return;
-                }
-                ++puts;
-                StoredItem& stored = items_[kind][item.name];
-                const StoredItem previous = stored;
-                stored = item;
-                stored.revision = ++revision_;
-                notifyWatchers(kind);
-                done(StoredItem { item.name, revision_, previous.content, false });
-            });
-        };
+        result.update
+            = [this](const StoreKind& kind, const std::string& name, const MergeContent& merge, auto done) {
+                  post([this, kind, name, merge, done] {
+                      if (isUnavailable) {
+                          ++failedUpdates;
+                          done(unavailableError());
+                          return;
+                      }
+                      ++puts;
+                      StoredItem& stored = items_[kind][name];
+                      const StoredItem previous = stored;
+                      stored = { name, ++revision_, merge(previous.content), false };
+                      notifyWatchers(kind);
+                      done(StoredItem { name, revision_, previous.content, false });
+                  });
+              };
         result.watch = [this](const StoreKind& kind, StoreRevision after, const WatchTiming&, auto done) {
             post([this, kind, after, done] {
                 if (isUnavailable)
@@ -217,6 +219,8 @@
         return result;
     }
 
+    std::string content(const StoreKind& kind, const std::string& name) { return items_[kind][name].content; }
+
     void set(const StoreKind& kind, const std::string& name, const std::string& content)
     {
         items_[kind][name] = { name, ++revision_, content, false };
--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -63,6 +63,12 @@
         return { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
     }
 
+    static TargetResponse conflict(const std::string& object)
+    {
+        return { absl::StrCat(
+            "HTTP/1.1 409 Conflict\r\nContent-Length: ", object.size(), "\r\n\r\n", object) };
+    }
+
     TargetResponse reply(const std::string& list, const std::string& kind, StoreRevision after)
     {
         std::vector<std::string> entries;
@@ -112,8 +118,13 @@
         const std::string name = (*body)["metadata"]["name"].asString();
         const auto existing = objects_[kind].find(name);
         if (request.method() == http::verb::post && existing != objects_[kind].end()) {
-            done({ absl::StrCat("HTTP/1.1 409 Conflict\r\nContent-Length: ", existing->second.text.size(),
-                "\r\n\r\n", existing->second.text) });
+            done(conflict(existing->second.text));
+            return;
+        }
+        const Json::Value& revision = (*body)["metadata"]["revision"];
+        if (!revision.isNull() && existing != objects_[kind].end()
+            && revision.asUInt64() != existing->second.revision) {
+            done(conflict(existing->second.text));
             return;
         }
         set(kind, name, canonicalJson((*body)["spec"]));
--- a/test/store-sync-test.cc
+++ b/test/store-sync-test.cc
@@ -39,8 +39,9 @@
             = [this, index, reached, fail](const StoreKind& kind, ReadConsistency consistency, auto done) {
                   isTurnedAway[index] ? fail(done) : reached.list(kind, consistency, done);
               };
-        port.put = [this, index, reached, fail](const StoreKind& kind, const StoredItem& item, auto done) {
-            isTurnedAway[index] ? fail(done) : reached.put(kind, item, done);
+        port.update = [this, index, reached, fail](const StoreKind& kind, const std::string& name,
+                          const MergeContent& merge, auto done) {
+            isTurnedAway[index] ? fail(done) : reached.update(kind, name, merge, done);
         };
         port.watch = [this, index, reached, fail](
                          const StoreKind& kind, StoreRevision after, const WatchTiming& wait, auto done) {
--- a/test/target-lifetime-test.cc
+++ b/test/target-lifetime-test.cc
@@ -79,7 +79,7 @@
 {
     TargetState state = stateWithHistory();
     recordHeartbeat(state, heartbeat("b", 200, 5), kNow);
-    BOOST_TEST(recordLeave(state, { "b", 0 }).hasPhaseChanged);
+    BOOST_TEST(recordLeave(state, { "b", 0 }, kNow).hasPhaseChanged);
     recordHeartbeat(state, heartbeat("b", 200, 6), kNow);
     BOOST_TEST(!isServing(state));
 }
@@ -89,9 +89,9 @@
     TargetState state = stateWithHistory();
     recordHeartbeat(state, heartbeat("a", 100, 5), kNow);
     recordHeartbeat(state, heartbeat("b", 200, 1), kNow);
-    recordLeave(state, { "a", 100 });
+    recordLeave(state, { "a", 100 }, kNow);
     BOOST_TEST(isServing(state));
-    recordLeave(state, { "a", 0 });
+    recordLeave(state, { "a", 0 }, kNow);
     BOOST_TEST(isServing(state));
 }
 
@@ -109,7 +109,7 @@
 {
     TargetState state = stateWithHistory();
     recordHeartbeat(state, heartbeat("b", 200, 50), kNow);
-    recordLeave(state, { "b", 200 });
+    recordLeave(state, { "b", 200 }, kNow);
     const TargetChange change = recordHeartbeat(state, heartbeat("b", 300, 1), kNow);
     BOOST_TEST(change.isNewLifetime);
     BOOST_TEST(isServing(state));
