A planned stop waits for responses that are being written

Cause: a request counted as answered as soon as its response was queued. Now a connection with a write in progress counts as pending, up to the end of the stop time.

--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -81,7 +81,7 @@
     /// Closes the connections without a pending response.
     void closeIdleSessions();
     std::size_t sessionCount() const { return sessions_.size(); }
-    /// Requests that were read and have no response yet.
+    /// Requests that were read and whose response is not written yet.
     std::size_t pendingRequests() const;
 
 private:
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -21,7 +21,8 @@
     void checkTimeouts(absl::Time now);
     /// True if the connection had no activity for this long.
     bool isIdleFor(absl::Duration time) const;
-    std::size_t pendingRequests() const { return pending_.size(); }
+    /// Requests without a response, and one more while responses are being written.
+    std::size_t pendingRequests() const { return pending_.size() + (isWriting_ ? 1 : 0); }
     /// Aborts the connection and its pending requests.
     void close();
     /// Shuts down the sending side. The caller's remaining bytes are still read: unread bytes would cause a
