A planned stop answers pipelined requests that were passed on

Callers that pipeline reads lost those behind the first response of a stopping node, though they had been passed on to a target (LOST).

Cause: from the start of a stop, each response closed its connection and dropped what was pending behind it. Now the connection reads no more, passes nothing more on, and is closed by the response to the last request that was passed on.

planned-stop-test, answersPipelinedRequestsThatWerePassedOn: before, 1 of 3 was answered; now all 3.

--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -234,8 +234,9 @@
         const IncomingRequestPtr incoming = pending_.front();
         pending_.pop_front();
         Response& response = *incoming->response;
-        const bool isLast = listener_.isClosing_ || !incoming->request.keep_alive() || !response.keep_alive()
-            || (isEnding_ && pending_.empty());
+        isEnding_ = isEnding_ || listener_.isClosing_;
+        const bool isLast = !incoming->request.keep_alive() || !response.keep_alive()
+            || (listener_.isClosing_ && !hasDispatchedRequest()) || (isEnding_ && pending_.empty());
         response.version(11);
         response.keep_alive(!isLast);
         enqueue(serializeHead(response));
@@ -257,13 +258,20 @@
     if (!hasSent)
         return;
     waitStartedAt_ = steadyNow();
-    dispatch();
+    if (!listener_.isClosing_)
+        dispatch();
     if (!isEnding_) {
         parseRequests();
         read();
     }
 }
 
+/// True if a pending request was passed on, which happens in their order.
+bool HttpSession::hasDispatchedRequest() const
+{
+    return !pending_.empty() && pending_.front()->isDispatched;
+}
+
 void HttpSession::enqueue(std::string bytes, ByteReservation reservation)
 {
     if (!bytes.empty())
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -43,6 +43,7 @@
     absl::string_view unparsedBytes() const;
     void refuse(http::status status, absl::string_view text);
     void dispatch();
+    bool hasDispatchedRequest() const;
     void write();
     void enqueue(std::string bytes, ByteReservation reservation = {});
     bool reserveBody();
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -126,6 +126,22 @@
 
 } // namespace
 
+// Requests that were sent behind another one and passed on are answered as well.
+BOOST_AUTO_TEST_CASE(answersPipelinedRequestsThatWerePassedOn)
+{
+    StoppingNode stopping(10);
+    Caller caller(stopping.loop, stopping.node.settings.callerAddress, std::chrono::microseconds(0));
+    std::string bytes;
+    for (const char* id : { "r1", "r2", "r3" })
+        bytes += serializeRequest(callerRequest(http::verb::get, "/read/1", id));
+    caller.send(bytes);
+    runUntil(stopping.loop, [&] { return stopping.target.requests.size() == 3; });
+    stopping.node.node->stop();
+    stopping.runToTheEnd();
+    BOOST_TEST(countOf(caller.received, "HTTP/1.1 200") == 3U);
+    BOOST_TEST(countOf(caller.received, "Connection: close") == 1U);
+}
+
 // A response that the caller is still reading when the node has nothing else to do.
 BOOST_AUTO_TEST_CASE(waitsForResponsesThatAreBeingWritten)
 {
