planned-stop-test: callers read in threads of their own

The test went on running the event loop after it had destroyed the node, so that a timer of the node that had expired in the same moment as the one that ended the loop ran after its end. A process ends with its loop, so only the test is concerned.

Now the callers read in threads, and the loop is not run after the node's end. The checks are the same.

--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -4,6 +4,9 @@
 
 #include <boost/test/data/test_case.hpp>
 
+#include <atomic>
+#include <thread>
+
 using namespace jackdawwall;
 using namespace jackdawwall::relay;
 using namespace jackdawwall::relay::test;
@@ -50,43 +53,55 @@
     TestNode node;
 };
 
-/// A caller on one connection that reads a piece at a time.
+/// A caller on one connection that reads a piece at a time, in a thread of its own: it goes on when the node
+/// has ended the event loop.
 class Caller {
 public:
-    Caller(asio::io_context& loop, const std::string& address, std::chrono::microseconds pause)
-        : socket_(loop)
-        , timer_(loop)
+    Caller(const std::string& address, std::chrono::microseconds pause)
+        : socket_(loop_)
         , pause_(pause)
     {
         socket_.connect(parseEndpoint(address));
-        read();
+        reader_ = std::thread([this] { readAll(); });
+    }
+    ~Caller()
+    {
+        beast::error_code ignored;
+        socket_.shutdown(Tcp::socket::shutdown_both, ignored);
+        if (reader_.joinable())
+            reader_.join();
     }
+    Caller(const Caller&) = delete;
+    Caller& operator=(const Caller&) = delete;
 
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
-
-    std::string received;
-    bool isEnded = false;
+    bool isEnded() const { return isEnded_; }
+    /// All bytes up to the end of the connection, for which it waits.
+    const std::string& received()
+    {
+        if (reader_.joinable())
+            reader_.join();
+        return received_;
+    }
 
 private:
-    void read()
+    void readAll()
     {
-        socket_.async_read_some(asio::buffer(piece_), [this](beast::error_code error, std::size_t bytes) {
-            received.append(piece_.data(), bytes);
-            isEnded = static_cast<bool>(error);
-            if (error)
-                return;
-            timer_.expires_after(pause_);
-            timer_.async_wait([this](beast::error_code cancelled) {
-                if (!cancelled)
-                    read();
-            });
-        });
+        std::vector<char> piece(64U << 10);
+        beast::error_code error;
+        while (!error) {
+            received_.append(piece.data(), socket_.read_some(asio::buffer(piece), error));
+            std::this_thread::sleep_for(pause_);
+        }
+        isEnded_ = true;
     }
 
+    asio::io_context loop_;
     Tcp::socket socket_;
-    asio::steady_timer timer_;
     const std::chrono::microseconds pause_;
-    std::vector<char> piece_ = std::vector<char>(64U << 10);
+    std::string received_;
+    std::atomic<bool> isEnded_ { false };
+    std::thread reader_;
 };
 
 std::size_t countOf(const std::string& text, const std::string& part)
@@ -130,7 +145,7 @@
 BOOST_AUTO_TEST_CASE(answersPipelinedRequestsThatWerePassedOn)
 {
     StoppingNode stopping(10);
-    Caller caller(stopping.loop, stopping.node.settings.callerAddress, std::chrono::microseconds(0));
+    Caller caller(stopping.node.settings.callerAddress, std::chrono::microseconds(0));
     std::string bytes;
     for (const char* id : { "r1", "r2", "r3" })
         bytes += serializeRequest(callerRequest(http::verb::get, "/read/1", id));
@@ -138,8 +153,8 @@
     runUntil(stopping.loop, [&] { return stopping.target.requests.size() == 3; });
     stopping.node.node->stop();
     stopping.runToTheEnd();
-    BOOST_TEST(countOf(caller.received, "HTTP/1.1 200") == 3U);
-    BOOST_TEST(countOf(caller.received, "Connection: close") == 1U);
+    BOOST_TEST(countOf(caller.received(), "HTTP/1.1 200") == 3U);
+    BOOST_TEST(countOf(caller.received(), "Connection: close") == 1U);
 }
 
 // A response that the caller is still reading when the node has nothing else to do.
@@ -147,13 +162,12 @@
 {
     constexpr std::size_t kBodyBytes = 24U << 20;
     StoppingNode stopping(kBodyBytes);
-    Caller caller(stopping.loop, stopping.node.settings.callerAddress, std::chrono::milliseconds(3));
+    Caller caller(stopping.node.settings.callerAddress, std::chrono::milliseconds(3));
     caller.send(serializeRequest(callerRequest(http::verb::get, "/read/1", "r1")));
     runUntil(stopping.loop, [&] { return !stopping.target.requests.empty(); });
     stopping.node.node->stop();
     stopping.runToTheEnd();
-    runUntil(stopping.loop, [&] { return caller.isEnded; });
-    BOOST_TEST(caller.received.size() > kBodyBytes);
+    BOOST_TEST(caller.received().size() > kBodyBytes);
 }
 
 // Each request is either served, or refused without having run.
@@ -163,24 +177,24 @@
     const std::string& address = stopping.node.settings.callerAddress;
     std::unique_ptr<Caller> caller;
     if (late.isOnOpenConnection)
-        caller = std::make_unique<Caller>(stopping.loop, address, std::chrono::microseconds(0));
+        caller = std::make_unique<Caller>(address, std::chrono::microseconds(0));
     // Keeps the node from closing idle connections at once.
-    Caller other(stopping.loop, address, std::chrono::microseconds(0));
+    Caller other(address, std::chrono::microseconds(0));
     other.send(serializeRequest(callerRequest(http::verb::get, "/read/2", "other")));
     runUntil(stopping.loop, [&] { return stopping.target.requests.size() == 1; });
     stopping.node.node->stop();
     asio::steady_timer timer(stopping.loop, absl::ToChronoMicroseconds(late.lateness));
     timer.async_wait([&](beast::error_code) {
         if (!caller)
-            caller = std::make_unique<Caller>(stopping.loop, address, std::chrono::microseconds(0));
-        if (!caller->isEnded)
+            caller = std::make_unique<Caller>(address, std::chrono::microseconds(0));
+        if (!caller->isEnded())
             caller->send(serializeRequest(callerRequest(late.method, late.path, "late")));
     });
     stopping.runToTheEnd();
-    BOOST_TEST(countOf(other.received, "HTTP/1.1 200") == 1U);
+    BOOST_TEST(countOf(other.received(), "HTTP/1.1 200") == 1U);
     const std::size_t runs = stopping.target.requests.size() - 1;
-    BOOST_TEST(countOf(caller->received, "HTTP/1.1 200") == runs);
-    const bool wasClosedBefore = caller->isEnded && caller->received.empty();
+    BOOST_TEST(countOf(caller->received(), "HTTP/1.1 200") == runs);
+    const bool wasClosedBefore = caller->isEnded() && caller->received().empty();
     if (runs == 0 && !wasClosedBefore)
-        BOOST_TEST(countOf(caller->received, "HTTP/1.1 503") == 1U);
+        BOOST_TEST(countOf(caller->received(), "HTTP/1.1 503") == 1U);
 }
