--- a/test/endless-message-test.cc
+++ b/test/endless-message-test.cc
@@ -232,6 +232,7 @@
     constexpr int kAtOnce = 8; // All slots of the target but those for short calls.
     Nodes nodes(part);
     std::vector<std::shared_ptr<std::optional<ExchangeResult>>> endless;
+    endless.reserve(kAtOnce);
     for (int index = 0; index < kAtOnce; ++index)
         endless.push_back(nodes.forwarding.send(nodes.forwarding.settings.callerAddress,
             callerRequest(http::verb::post, "/book/endless", absl::StrCat("endless", index))));
