Fields of customers, keys and their limits

Cause: several parts of the same change need the same types. Change: CallerEntry has a burst and a priority, RouteTable holds customers and hashes of their keys, CallContext names the customer, HeaderNames the two headers. Nothing sets or reads them yet. Measured: compiles; no behaviour changes.

--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -35,7 +35,8 @@
 
 /// Metadata that a caller's node sends to a target's node with each call.
 struct CallContext {
-    std::string caller;
+    std::string caller; ///< Service that the calling process belongs to, or the catalogue's caller.
+    std::string customer; ///< Customer whose key the request carried; empty without one.
     std::string kind;
     std::string requestId;
     Priority priority = Priority::Browse;
@@ -130,6 +131,7 @@
 struct RoutedRequest {
     std::string service; ///< Chosen from the services of the route.
     std::string caller;
+    const CallerEntry* customer = nullptr; ///< Customer whose key the request carries; null without one.
     std::string requestId;
     absl::Duration callerTimeout; ///< How long the caller waits.
     std::uint64_t bodyBytes = 0;
--- a/include/jackdawwall/catalogue.h
+++ b/include/jackdawwall/catalogue.h
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     std::string owner;
     double weight = 1; ///< Relative share within a priority class.
     double callsPerSecond = 0; ///< Total over all nodes; 0 means no limit.
+    double burst = 0; ///< Calls that may exceed the rate in a short time, over all nodes.
+    std::optional<Priority> priority; ///< Takes precedence over the priority of the work.
 };
 
 /// Entry "work/NAME".
--- a/include/jackdawwall/route-table.h
+++ b/include/jackdawwall/route-table.h
@@ -2,12 +2,14 @@
 /// caller waits. A table is immutable; a newer version replaces the entire table.
 #pragma once
 
+#include "jackdawwall/catalogue.h"
 #include "jackdawwall/core.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,8 +35,12 @@
     absl::Duration timeout = absl::Seconds(5); ///< Maximum time that a caller waits.
     absl::Duration latencyObjective = absl::Seconds(1);
     int attempts = 1; ///< Maximum number of targets that one request may reach.
+    bool isPublic = false; ///< Needs no key, even if the table has customers.
 };
 
+/// Salted keyed hash of a customer's key. The key itself is not kept.
+using KeyHash = std::array<std::uint8_t, 16>;
+
 /// Limits on the size and duration of callers' requests.
 struct CallerLimits {
     std::uint32_t headerBytes = 16U << 10;
@@ -47,6 +53,10 @@
     RouteVersion version = 0;
     absl::flat_hash_map<std::string, std::vector<Route>> byHost; ///< Longest prefix first.
     CallerLimits limits;
+    /// Callers that are identified by a key, by name. Empty: requests need no key.
+    absl::flat_hash_map<std::string, CallerEntry> customers;
+    std::string keySalt; ///< Used for all hashes in `customerKeys`.
+    absl::flat_hash_map<KeyHash, std::string> customerKeys; ///< Names of the customers by key.
 };
 
 /// Adds a route. The routes of a host stay sorted by descending prefix length.
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -19,6 +19,8 @@
     std::string kind; ///< Kind of work.
     std::string parent; ///< Token that the target echoes on its own calls.
     std::string node; ///< Address to which the target sends its own calls.
+    std::string key; ///< Key that identifies the customer; never forwarded.
+    std::string customer; ///< Name of the customer, set on requests to targets.
 };
 
 /// Headers between nodes only.
@@ -31,6 +33,7 @@
 /// Number of targets that the request reached, or may have reached, before.
 inline constexpr char kArrivalsHeader[] = "Jackdaw-Hop-Arrivals";
 inline constexpr char kCallerHeader[] = "Jackdaw-Hop-Caller";
+inline constexpr char kCustomerHeader[] = "Jackdaw-Hop-Customer";
 inline constexpr char kChainHeader[] = "Jackdaw-Hop-Chain"; ///< Fields passed down the whole call chain.
 inline constexpr char kEndHeader[] = "Jackdaw-Hop-End"; ///< On responses: how the call ended at the node.
 inline constexpr char kReasonHeader[] = "Jackdaw-Hop-Reason";
