Decode customers, with hashes in place of their keys

Cause: requests are to be identified by customers' keys, and a key may reach no other node. Change: the decoder reads tenants and public strictly, hashes the keys (libsodium, random salt for each document) and returns the document for other nodes, which holds hashes. It accepts both forms. Without customers the document is passed on unchanged. Error texts of the parser are reduced to a position, because they may quote the document. An empty list of customers means that requests need no key.

--- a/fuzz/decode-fuzz.cc
+++ b/fuzz/decode-fuzz.cc
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 
 namespace {
 
@@ -23,13 +24,19 @@
 
 void fuzzConfiguration(const std::string& text)
 {
-    const absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
-    if (!table.ok())
+    const absl::StatusOr<platform::DecodedConfiguration> decoded = platform::decodeConfiguration(text);
+    if (!decoded.ok())
         return;
+    const RouteTable& table = decoded->table;
+    if (!decoded->peerDocument.empty()) {
+        const auto received = platform::decodeConfiguration(decoded->peerDocument);
+        if (!received.ok() || received->table.customerKeys != table.customerKeys)
+            std::abort(); // Other nodes would not have the same customers.
+    }
     SplitState split;
-    for (const auto& [host, routes] : table->byHost) {
+    for (const auto& [host, routes] : table.byHost) {
         for (const Route& route : routes) {
-            static_cast<void>(matchRoute(*table, host, route.prefix));
+            static_cast<void>(matchRoute(table, host, route.prefix));
             static_cast<void>(chooseService(split, route));
         }
     }
--- a/include/jackdawwall/route-table.h
+++ b/include/jackdawwall/route-table.h
@@ -6,10 +6,12 @@
 #include "jackdawwall/core.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/hash/hash.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -41,6 +43,20 @@
 /// Salted keyed hash of a customer's key. The key itself is not kept.
 using KeyHash = std::array<std::uint8_t, 16>;
 
+/// Compares hashes in constant time, so that the time of a refusal tells nothing about the hash of a key.
+struct KeyHashEqual {
+    bool operator()(const KeyHash& left, const KeyHash& right) const
+    {
+        unsigned difference = 0;
+        for (std::size_t index = 0; index < left.size(); ++index)
+            difference |= static_cast<unsigned>(left[index] ^ right[index]);
+        return difference == 0;
+    }
+};
+
+/// Names of customers by the hash of a key.
+using CustomerKeys = absl::flat_hash_map<KeyHash, std::string, absl::Hash<KeyHash>, KeyHashEqual>;
+
 /// Limits on the size and duration of callers' requests.
 struct CallerLimits {
     std::uint32_t headerBytes = 16U << 10;
@@ -56,7 +72,7 @@
     /// Callers that are identified by a key, by name. Empty: requests need no key.
     absl::flat_hash_map<std::string, CallerEntry> customers;
     std::string keySalt; ///< Used for all hashes in `customerKeys`.
-    absl::flat_hash_map<KeyHash, std::string> customerKeys; ///< Names of the customers by key.
+    CustomerKeys customerKeys;
 };
 
 /// Adds a route. The routes of a host stay sorted by descending prefix length.
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -74,8 +74,8 @@
     StoreKind configurationKind; ///< Kind of the object with the operators' configuration.
     std::string configurationName; ///< Name of that object.
     StoreKind nodeKind; ///< Kind of the nodes' records, by which nodes discover each other.
-    /// Decodes the configuration that the store or another node sent; leaves `document` and `appliedAt`
-    /// unset.
+    /// Decodes the configuration that the store or another node sent. Leaves `appliedAt` unset, and
+    /// `document` as well unless other nodes must not receive the text itself.
     std::function<absl::StatusOr<Configuration>(const std::string&)> decodeConfiguration;
     /// Decodes a request to the heartbeat address; null if targets send none.
     std::function<TargetMessage(const Request&)> decodeTargetMessage;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -382,7 +382,8 @@
         callerListener_.setLimits(limits);
     }
     state_.configuration = *std::move(decoded);
-    state_.configuration.document = document;
+    if (state_.configuration.document.empty())
+        state_.configuration.document = document;
     state_.configuration.appliedAt = absl::Now();
     peerLink_.announce();
     return true;
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -75,9 +75,10 @@
     return result;
 }
 
-Configuration routedConfiguration(RouteTable table)
+Configuration routedConfiguration(RouteTable table, std::string document)
 {
     Configuration result;
+    result.document = std::move(document);
     result.version = table.version;
     result.limits = table.limits;
     result.table = std::make_shared<const RouteTable>(std::move(table));
--- a/src/relay/routed-interface.h
+++ b/src/relay/routed-interface.h
@@ -9,8 +9,8 @@
 /// Resolves requests with the current route table.
 CallInterface routedInterface();
 
-/// Wraps a route table as a configuration.
-Configuration routedConfiguration(RouteTable table);
+/// Wraps a route table as a configuration. `document` is for other nodes; empty: the received text.
+Configuration routedConfiguration(RouteTable table, std::string document = {});
 
 /// Options for admission and routing where routes set a latency objective and traffic between data centres
 /// costs money.
--- a/support/install-packages.sh
+++ b/support/install-packages.sh
@@ -3,7 +3,7 @@
 set -eu
 packages=(g++ cmake ninja-build pkg-config curl clang clang-format clang-tidy
   libabsl-dev
-  libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev libsimdjson-dev libspdlog-dev libtclap-dev
+  libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev libsimdjson-dev libspdlog-dev libsodium-dev libtclap-dev
   libboost-dev libboost-test-dev libclang-rt-14-dev)
 missing=()
 for package in "${packages[@]}"; do
--- a/test/platform-decode-test.cc
+++ b/test/platform-decode-test.cc
@@ -2,8 +2,10 @@
 #include "decode.h"
 
 #include "adapter/json-reader.h"
+#include "adapter/key-digest.h"
 #include "relay/peer-message.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 #include <boost/test/data/test_case.hpp>
@@ -25,6 +27,13 @@
       R"({"service":"s2","weight":10}],"attempts":2}],"services":[{"name":"s1","health_path":"/h"}],)"
       R"("limits":{"max_header_bytes":100,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
+constexpr char kCustomers[]
+    = R"({"version":7,"routes":[{"name":"a","host":"a.example","prefix":"/","kind":"safe","timeout_ms":1500,)"
+      R"("service":"s1","public":true},{"name":"b","host":"b.example","prefix":"/","kind":"safe",)"
+      R"("timeout_ms":1500,"service":"s1","public":false}],"tenants":[{"name":"small",)"
+      R"("api_keys":["secret-1","secret-2","secret-1"],"priority":9,"rate_per_s":2.5,"burst":4},)"
+      R"({"name":"large","api_keys":["secret-3"]},{"name":"none","api_keys":[]}]})";
+
 constexpr char kHeartbeat[]
     = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","capacity":36,)"
       R"("state":"ready","cold_left_ms":500,"sequence":4,"born":1790030755000})";
@@ -108,6 +117,36 @@
     { R"({"version":7,"routes":[{"name":[],"host":"a"}]})" },
     { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","timeout_ms":"long"}]})" },
     { R"({"version":7,"routes":[],"limits":{"max_body_bytes":-1}})" },
+    { R"({"version":7,"routes":[{"name":"a","host":"a","prefix":"/","kind":"safe","timeout_ms":1,"service":"s",)"
+      R"("public":1}]})" },
+    { R"({"version":7,"routes":[],"tenants":null})" },
+    { R"({"version":7,"routes":[],"tenants":{}})" },
+    { R"({"version":7,"routes":[],"tenants":["c"]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"api_keys":["secret-1"]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"","api_keys":["secret-1"]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c\r\nX: y","api_keys":["secret-1"]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":" c","api_keys":["secret-1"]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c"}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":"secret-1"}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":{"secret-1":1}}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":{"secret-1":1,"secret-1":2}}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":["secret-1",7]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":[""]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":["secret-1" 1.1.secret-1]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":[],"priority":"1"}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":[],"priority":-1}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":[],"rate_per_s":-1}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":[],"burst":null}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":[]},{"name":"c","api_keys":[]}]})" },
+    { R"({"version":7,"routes":[],"tenants":[{"name":"c","api_keys":["secret-1"]},)"
+      R"({"name":"d","api_keys":["secret-1"]}]})" },
+    { R"({"version":7,"routes":[],"key_salt":"00","tenants":[{"name":"c","key_hashes":[]}]})" },
+    { R"({"version":7,"routes":[],)"
+      R"("key_salt":"000102030405060708090a0b0c0d0e0f000102030405060708090a0b0c0d0e0f",)"
+      R"("tenants":[{"name":"c","key_hashes":["0001"]}]})" },
+    { R"({"version":7,"routes":[],)"
+      R"("key_salt":"000102030405060708090a0b0c0d0e0f000102030405060708090a0b0c0d0e0f",)"
+      R"("tenants":[{"name":"c","key_hashes":[],"api_keys":["secret-1"]}]})" },
 };
 
 std::string mutate(std::string text, std::mt19937& generator)
@@ -213,8 +252,9 @@
 
 BOOST_AUTO_TEST_CASE(decodesConfiguration)
 {
-    const auto table = decodeConfiguration(kConfiguration);
-    BOOST_REQUIRE(table.ok());
+    const auto decoded = decodeConfiguration(kConfiguration);
+    BOOST_REQUIRE(decoded.ok());
+    const RouteTable* table = &decoded->table;
     BOOST_TEST(table->version == 7U);
     const Route* unsplitRoute = matchRoute(*table, "a.example", "/x/1");
     BOOST_REQUIRE(unsplitRoute != nullptr);
@@ -230,10 +270,64 @@
     BOOST_TEST(table->limits.bodyBytes == 1000U);
 }
 
+// Guards also against a refusal that logs a key of the refused document.
 BOOST_DATA_TEST_CASE(
     rejectsInvalidConfiguration, boost::unit_test::data::make(kInvalidConfigurations), invalid)
 {
-    BOOST_TEST(!decodeConfiguration(invalid.text).ok());
+    const auto decoded = decodeConfiguration(invalid.text);
+    BOOST_REQUIRE(!decoded.ok());
+    BOOST_TEST(!absl::StrContains(decoded.status().message(), "secret"), decoded.status().message());
+}
+
+std::string customerOf(const RouteTable& table, absl::string_view key)
+{
+    const auto found = table.customerKeys.find(hashKey(table.keySalt, key));
+    return found == table.customerKeys.end() ? "" : found->second;
+}
+
+void checkCustomers(const RouteTable& table)
+{
+    BOOST_TEST(customerOf(table, "secret-1") == "small");
+    BOOST_TEST(customerOf(table, "secret-2") == "small");
+    BOOST_TEST(customerOf(table, "secret-3") == "large");
+    BOOST_TEST(customerOf(table, "secret-4").empty());
+    BOOST_REQUIRE_EQUAL(table.customers.size(), 3U);
+    const CallerEntry& small = table.customers.at("small");
+    BOOST_TEST((small.callsPerSecond == 2.5 && small.burst == 4));
+    BOOST_TEST((small.priority == Priority::Bulk));
+    const CallerEntry& large = table.customers.at("large");
+    BOOST_TEST((large.callsPerSecond == 0 && large.burst == 0 && !large.priority));
+    BOOST_TEST(matchRoute(table, "a.example", "/")->isPublic);
+    BOOST_TEST(!matchRoute(table, "b.example", "/")->isPublic);
+}
+
+// Guards against a key in a message between nodes, and against nodes that accept different keys.
+BOOST_AUTO_TEST_CASE(aPeerDocumentHoldsHashesOfTheKeys)
+{
+    const auto fromStore = decodeConfiguration(kCustomers);
+    BOOST_REQUIRE(fromStore.ok());
+    checkCustomers(fromStore->table);
+    const std::string& document = fromStore->peerDocument;
+    BOOST_TEST(!document.empty());
+    BOOST_TEST(!absl::StrContains(document, "secret"), document);
+    BOOST_TEST(!absl::StrContains(document, "api_keys"), document);
+    const auto fromNode = decodeConfiguration(document);
+    BOOST_REQUIRE(fromNode.ok());
+    checkCustomers(fromNode->table);
+    BOOST_TEST(fromNode->peerDocument.empty()); // Passed on as received.
+    const auto again = decodeConfiguration(kCustomers);
+    BOOST_REQUIRE(again.ok());
+    BOOST_TEST((again->table.keySalt != fromStore->table.keySalt));
+}
+
+BOOST_AUTO_TEST_CASE(aDocumentWithoutCustomersIsPassedOnUnchanged)
+{
+    for (const char* text : { kConfiguration, R"({"version":7,"routes":[],"tenants":[]})" }) {
+        const auto decoded = decodeConfiguration(text);
+        BOOST_REQUIRE(decoded.ok());
+        BOOST_TEST(decoded->peerDocument.empty());
+        BOOST_TEST(decoded->table.customers.empty());
+    }
 }
 
 BOOST_DATA_TEST_CASE(decodersSurviveMutatedInput, boost::unit_test::data::xrange(8), seed)
@@ -250,6 +344,7 @@
             decodeTargetMessage(makeRequest("heartbeat&of=i", mutate(kHeartbeat, generator))));
         BOOST_REQUIRE_NO_THROW(
             static_cast<void>(decodeConfiguration(mutate(kConfiguration, generator)).ok()));
+        BOOST_REQUIRE_NO_THROW(static_cast<void>(decodeConfiguration(mutate(kCustomers, generator)).ok()));
         BOOST_REQUIRE_NO_THROW(static_cast<void>(relay::decodePeerMessage(mutate(peerText, generator)).ok()));
     }
 }
--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -143,10 +143,10 @@
 {
     node.port.store = client.port();
     node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
-        absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
-        if (!table.ok())
-            return table.status();
-        return routedConfiguration(*std::move(table));
+        absl::StatusOr<platform::DecodedConfiguration> decoded = platform::decodeConfiguration(text);
+        if (!decoded.ok())
+            return decoded.status();
+        return routedConfiguration(std::move(decoded->table), std::move(decoded->peerDocument));
     };
 }
 
