Identify customers by their keys and name them to targets

Cause: with customers in the configuration, requests on routes that are not public need a key, and targets are told whose request it is. Change: the routed interface answers 401 to a missing or unknown key, removes the headers about customers, and sets the customer, its weight and its priority. A request with a key is never taken for a nested call. Nested calls have the customer of their run for fairness and logs. Between nodes, Jackdaw-Hop-Customer names a customer that the target is told, Jackdaw-Hop-Run-Customer one that it is not told. Refusals are counted by reason and logged as key-refused; lines about calls name the customer.

--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -37,6 +37,9 @@
 struct CallContext {
     std::string caller; ///< Service that the calling process belongs to, or the catalogue's caller.
     std::string customer; ///< Customer whose key the request carried; empty without one.
+    /// The customer is that of the run that made this nested call. It counts for fairness and logs, but the
+    /// target of the nested call is not told.
+    bool isCustomerOfRun = false;
     std::string kind;
     std::string requestId;
     Priority priority = Priority::Browse;
@@ -125,18 +128,24 @@
     bool isNested = false; ///< Routed: made by the local target.
     absl::Duration latencyObjective; ///< 0 when there is none.
     absl::Time callerDeadline = absl::InfiniteFuture(); ///< The caller stops waiting at this time.
+    /// Key of the customer, to check it again when the configuration changes; never sent or logged. Empty
+    /// without one.
+    std::string key;
+    RouteVersion keyVersion = 0; ///< Version of the configuration in which the key was last found.
 };
 
 /// A request that was matched to a route.
 struct RoutedRequest {
     std::string service; ///< Chosen from the services of the route.
     std::string caller;
-    const CallerEntry* customer = nullptr; ///< Customer whose key the request carries; null without one.
+    /// Customer whose key the request carries, or of the run that makes a nested call; null without one.
+    const CallerEntry* customer = nullptr;
     std::string requestId;
     absl::Duration callerTimeout; ///< How long the caller waits.
     std::uint64_t bodyBytes = 0;
     bool isNested = false; ///< The local target makes the call.
-    /// Class of the run that makes the call, if it is known; used when it is more urgent than the route.
+    /// Class of the run that makes the call, if it is known; used when it is more urgent than the route,
+    /// unless the customer has a priority.
     std::optional<Priority> parentPriority;
 };
 
--- a/include/jackdawwall/parent-run.h
+++ b/include/jackdawwall/parent-run.h
@@ -13,18 +13,25 @@
 #include "absl/time/time.h"
 
 #include <optional>
+#include <string>
 
 namespace jackdawwall {
 
+/// What the nested calls of a run inherit.
+struct ParentRun {
+    Priority priority = Priority::Browse;
+    std::string customer; ///< Empty without one.
+};
+
 /// Runs in progress at the local target by their time limit.
 struct ParentRuns {
-    absl::btree_map<absl::Time, Priority> byLimit;
+    absl::btree_map<absl::Time, ParentRun> byLimit;
 };
 
 /// Registers a run and returns its time limit: `desired` or slightly earlier. The limit is a whole number of
 /// milliseconds after `now`, as targets are given it in that unit. Empty if too many runs have nearly the
 /// same limit.
-std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, Priority priority, absl::Time now);
+std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, ParentRun run, absl::Time now);
 
 /// Removes a run that ended.
 void removeRun(ParentRuns& runs, absl::Time limit);
@@ -32,7 +39,7 @@
 /// True if a call with this time limit may belong to a run in progress: it does not outlive all of them.
 bool mayHaveParent(const ParentRuns& runs, absl::Time limit);
 
-/// Class of the run that a call with this time limit belongs to.
-std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit);
+/// The run that a call with this time limit belongs to; null if there is none. Valid until the runs change.
+const ParentRun* findParentRun(const ParentRuns& runs, absl::Time limit);
 
 } // namespace jackdawwall
--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -101,6 +101,12 @@
     ++rejectedRequests_[absl::StrCat("status=\"", status, "\"")];
 }
 
+void Metrics::countRefusedKey(absl::string_view reason)
+{
+    const absl::MutexLock lock(&mutex_);
+    ++refusedKeys_[absl::StrCat("reason=\"", reason, "\"")];
+}
+
 std::string Metrics::expose(const std::string& gauges) const
 {
     const absl::MutexLock lock(&mutex_);
@@ -116,6 +122,8 @@
         text, "jackdaw_store_calls_total", "Calls to the platform's store, by how they ended.", storeCalls_);
     appendLabelled(text, "jackdaw_rejected_requests_total",
         "Requests answered with an error before they were routed, by status.", rejectedRequests_);
+    appendLabelled(
+        text, "jackdaw_refused_keys_total", "Requests refused for their key, by reason.", refusedKeys_);
     return text + gauges;
 }
 
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -213,6 +213,12 @@
     context.requestId = request.requestId;
     // A nested call is never less urgent than its route: work has already been done for it.
     context.priority = std::min(route.priority, request.parentPriority.value_or(route.priority));
+    if (const CallerEntry* customer = request.customer) {
+        context.customer = customer->name;
+        context.isCustomerOfRun = request.isNested;
+        context.weight = static_cast<std::uint32_t>(std::max(1.0, customer->weight));
+        context.priority = customer->priority.value_or(context.priority);
+    }
     context.isIdempotent = route.isIdempotent;
     context.deadline = now + std::min(request.callerTimeout, route.timeout);
     return call;
--- a/src/parent-run.cc
+++ b/src/parent-run.cc
@@ -1,6 +1,7 @@
 #include "jackdawwall/parent-run.h"
 
 #include <iterator>
+#include <utility>
 
 namespace jackdawwall {
 namespace {
@@ -16,14 +17,14 @@
 
 } // namespace
 
-std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, Priority priority, absl::Time now)
+std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, ParentRun run, absl::Time now)
 {
     const absl::Time earliest = desired - kMaxReduction;
     absl::Time limit = now + absl::Floor(desired - now, absl::Milliseconds(1));
     while (limit > earliest) {
         const auto next = runs.byLimit.upper_bound(limit - kSpacing);
         if (next == runs.byLimit.end() || next->first >= limit + kSpacing) {
-            runs.byLimit.emplace(limit, priority);
+            runs.byLimit.emplace(limit, std::move(run));
             return limit;
         }
         limit = now + absl::Floor(next->first - kSpacing - now, absl::Milliseconds(1));
@@ -41,15 +42,15 @@
     return !runs.byLimit.empty() && limit - runs.byLimit.rbegin()->first <= kMaxTransit;
 }
 
-std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit)
+const ParentRun* findParentRun(const ParentRuns& runs, absl::Time limit)
 {
     auto after = runs.byLimit.upper_bound(limit + kMaxRounding);
     if (after == runs.byLimit.begin())
-        return std::nullopt;
+        return nullptr;
     const auto run = std::prev(after);
     if (limit - run->first > kMaxTransit)
-        return std::nullopt;
-    return run->second;
+        return nullptr;
+    return &run->second;
 }
 
 } // namespace jackdawwall
--- a/src/relay/caller-call.cc
+++ b/src/relay/caller-call.cc
@@ -242,9 +242,10 @@
     const CallContext& context = call_.context;
     state_.metrics.countCall({ context.priority, end.outcome, end.reason }, now - call_.start);
     state_.requestLog.record("call-ended", context.requestId, end.outcome == Outcome::Ok,
-        { { "request", context.requestId }, { "route", context.kind }, { "service", call_.service },
-            { "class", static_cast<int>(context.priority) }, { "nested", call_.isNested },
-            { "outcome", toText(end.outcome) }, { "reason", toText(end.reason) }, { "status", status },
+        { { "request", context.requestId }, { "route", context.kind }, { "customer", context.customer },
+            { "service", call_.service }, { "class", static_cast<int>(context.priority) },
+            { "nested", call_.isNested }, { "outcome", toText(end.outcome) },
+            { "reason", toText(end.reason) }, { "status", status },
             { "node", call_.tried.empty() ? "" : call_.tried.back() }, { "tried", call_.tried.size() },
             { "arrivals", call_.arrivals }, { "after_ms", absl::ToInt64Milliseconds(now - call_.start) },
             { "limit_ms", absl::ToInt64Milliseconds(context.deadline - call_.start) },
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -60,6 +60,9 @@
             head, kLatencyObjectiveHeader, absl::StrCat(absl::ToInt64Milliseconds(call.latencyObjective)));
     setHeader(head, kArrivalsHeader, absl::StrCat(call.arrivals));
     setHeader(head, kCallerHeader, context.caller);
+    removeHeaders(head, { kCustomerHeader, kRunCustomerHeader }); // Of the client.
+    if (!context.customer.empty())
+        setHeader(head, context.isCustomerOfRun ? kRunCustomerHeader : kCustomerHeader, context.customer);
     if (hasNonDefaultChain(context))
         setHeader(head, kChainHeader,
             absl::StrJoin(
@@ -78,6 +81,9 @@
     CallContext& context = hop.call.context;
     context.requestId = std::string(headerValue(request, names.requestId));
     context.caller = std::string(headerValue(request, kCallerHeader));
+    context.isCustomerOfRun = !headerValue(request, kRunCustomerHeader).empty();
+    context.customer
+        = std::string(headerValue(request, context.isCustomerOfRun ? kRunCustomerHeader : kCustomerHeader));
     context.kind = std::string(headerValue(request, kRouteHeader));
     context.priority = static_cast<Priority>(
         std::clamp<std::int64_t>(integerHeader(request, kPriorityHeader, kMaxPriority), 0, kMaxPriority));
@@ -95,7 +101,8 @@
     hop.call.latencyObjective = absl::Milliseconds(integerHeader(request, kLatencyObjectiveHeader, 0));
     removeHeaders(request,
         { kServiceHeader, kRouteHeader, kPriorityHeader, kIdempotentHeader, kRemainingTimeHeader,
-            kLatencyObjectiveHeader, kArrivalsHeader, kCallerHeader, kChainHeader });
+            kLatencyObjectiveHeader, kArrivalsHeader, kCallerHeader, kCustomerHeader, kRunCustomerHeader,
+            kChainHeader });
     hop.call.request = std::make_shared<const Request>(std::move(request));
     return hop;
 }
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -33,7 +33,10 @@
 /// Number of targets that the request reached, or may have reached, before.
 inline constexpr char kArrivalsHeader[] = "Jackdaw-Hop-Arrivals";
 inline constexpr char kCallerHeader[] = "Jackdaw-Hop-Caller";
+/// At most one of the two is sent: the customer of the request, which the target is told, or that of the run
+/// that made a nested call, which it is not told.
 inline constexpr char kCustomerHeader[] = "Jackdaw-Hop-Customer";
+inline constexpr char kRunCustomerHeader[] = "Jackdaw-Hop-Run-Customer";
 inline constexpr char kChainHeader[] = "Jackdaw-Hop-Chain"; ///< Fields passed down the whole call chain.
 inline constexpr char kEndHeader[] = "Jackdaw-Hop-End"; ///< On responses: how the call ended at the node.
 inline constexpr char kReasonHeader[] = "Jackdaw-Hop-Reason";
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -1,5 +1,6 @@
 #include "relay/routed-interface.h"
 
+#include "adapter/key-digest.h"
 #include "relay/breakage.h"
 
 #include <algorithm>
@@ -25,15 +26,50 @@
 constexpr double kMaxReserve = 0.75;
 constexpr double kReserveDeviations = 1;
 
+/// Removes the headers about customers, which no target receives from a client, and returns the key. Empty
+/// if there is none; an empty text, which is no customer's key, if there are several.
+std::optional<std::string> takeKey(Request& request, const HeaderNames& names)
+{
+    std::optional<std::string> key;
+    if (const absl::string_view value = headerValue(request, names.key); !value.empty())
+        key = std::string(value);
+    const bool isAmbiguous = request.erase(toBeast(names.key)) > 1;
+    request.erase(toBeast(names.customer));
+    return isAmbiguous ? "" : key;
+}
+
+/// Customer with this key; null if there is none.
+const CallerEntry* findCustomer(const RouteTable& table, absl::string_view key)
+{
+    const auto found = table.customerKeys.find(hashKey(table.keySalt, key));
+    if (found == table.customerKeys.end())
+        return nullptr;
+    const auto customer = table.customers.find(found->second);
+    return customer == table.customers.end() ? nullptr : &customer->second;
+}
+
+void recordRefusedKey(
+    RelayState& state, absl::string_view requestId, absl::string_view route, absl::string_view reason)
+{
+    state.metrics.countRefusedKey(reason);
+    state.requestLog.record("key-refused", requestId, false,
+        { { "request", requestId }, { "route", route }, { "reason", reason },
+            { "config", state.configuration.version } });
+}
+
 OpenedCall open(RelayState& state, IncomingRequest& incoming)
 {
-    const Request& request = incoming.request;
+    Request& request = incoming.request;
     if (!state.configuration.table)
         return makeTextResponse(
             http::status::service_unavailable, "no configuration is known yet\n", kMaxRetryAfter);
-    const Route* route = matchRoute(
-        *state.configuration.table, fromBeast(request[http::field::host]), fromBeast(request.target()));
-    const absl::string_view id = headerValue(request, state.settings.names.requestId);
+    const RouteTable& table = *state.configuration.table;
+    const HeaderNames& names = state.settings.names;
+    const bool hasCustomers = !table.customers.empty();
+    const std::optional<std::string> key = hasCustomers ? takeKey(request, names) : std::nullopt;
+    const Route* route
+        = matchRoute(table, fromBeast(request[http::field::host]), fromBeast(request.target()));
+    const absl::string_view id = headerValue(request, names.requestId);
     if (route == nullptr) {
         state.requestLog.record("no-route", id, false,
             { { "request", id }, { "host", fromBeast(request[http::field::host]) },
@@ -44,14 +80,30 @@
     routed.service = chooseService(state.split, *route);
     routed.caller = state.settings.service;
     routed.requestId = std::string(id);
-    routed.callerTimeout = absl::Milliseconds(integerHeader(
-        request, state.settings.names.remainingTime, absl::ToInt64Milliseconds(route->timeout)));
+    routed.callerTimeout = absl::Milliseconds(
+        integerHeader(request, names.remainingTime, absl::ToInt64Milliseconds(route->timeout)));
     routed.bodyBytes = request.body().size();
     const absl::Time timeLimit = incoming.receivedAt + routed.callerTimeout;
-    routed.isNested = state.gate.mayBeNested(incoming.remoteAddress, timeLimit);
-    if (routed.isNested)
-        routed.parentPriority = state.gate.parentPriorityOf(timeLimit);
-    return openRouted(*route, routed, incoming.receivedAt);
+    routed.isNested = !key && state.gate.mayBeNested(incoming.remoteAddress, timeLimit);
+    if (const ParentRun* run = routed.isNested ? state.gate.parentRunOf(timeLimit) : nullptr) {
+        routed.parentPriority = run->priority;
+        const auto customer = table.customers.find(run->customer);
+        routed.customer = customer == table.customers.end() ? nullptr : &customer->second;
+    }
+    const bool needsKey = hasCustomers && !routed.isNested && !route->isPublic;
+    if (needsKey) {
+        routed.customer = key ? findCustomer(table, *key) : nullptr;
+        if (routed.customer == nullptr) {
+            recordRefusedKey(state, id, route->name, key ? "unknown" : "missing");
+            return makeTextResponse(http::status::unauthorized, "no known key\n");
+        }
+    }
+    OutboundCall call = openRouted(*route, routed, incoming.receivedAt);
+    if (needsKey) {
+        call.key = *key;
+        call.keyVersion = table.version;
+    }
+    return call;
 }
 
 Response makeFailureResponse(const CallFailure& failure, absl::Duration callerRemainingTime)
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -145,12 +145,14 @@
             setHeader(head, name, value);
     };
     if (names.parent.empty())
-        pending.runLimit = addRun(runs_, context.deadline, context.priority, now);
+        pending.runLimit = addRun(runs_, context.deadline, { context.priority, context.customer }, now);
     const std::int64_t remaining
         = absl::ToInt64Milliseconds(pending.runLimit.value_or(context.deadline) - now);
     set(names.remainingTime, absl::StrCat(std::max<std::int64_t>(1, remaining)));
     set(names.expectTarget, target_.lifetime.id);
     set(names.caller, context.caller);
+    if (!context.customer.empty() && !context.isCustomerOfRun)
+        set(names.customer, context.customer);
     set(names.kind, context.kind);
     set(names.parent, absl::StrCat(absl::Hex(pending.token, absl::kZeroPad16)));
     set(names.node, options_.nodeAddress);
@@ -224,9 +226,10 @@
     }
     log_.record("target-call", pending->call.context.requestId, classified.status == GateStatus::Answered,
         { { "request", pending->call.context.requestId }, { "route", pending->call.context.kind },
-            { "target", target_.lifetime.id }, { "end", toText(classified.status) },
-            { "reason", jackdawwall::toText(classified.reason) }, { "status", httpStatus },
-            { "arrivals_before", pending->call.arrivals }, { "running", running() }, { "waiting", waiting() },
+            { "customer", pending->call.context.customer }, { "target", target_.lifetime.id },
+            { "end", toText(classified.status) }, { "reason", jackdawwall::toText(classified.reason) },
+            { "status", httpStatus }, { "arrivals_before", pending->call.arrivals }, { "running", running() },
+            { "waiting", waiting() },
             { "after_ms", absl::ToInt64Milliseconds(steadyNow() - pending->offeredAt) } });
     finish(id, std::move(classified), runResult);
 }
@@ -252,8 +255,8 @@
     countOffer(*pending, Outcome::NotRun, reason);
     log_.record("target-refused", pending->call.context.requestId, reason == Reason::Leaving,
         { { "request", pending->call.context.requestId }, { "route", pending->call.context.kind },
-            { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
-            { "running", running() }, { "waiting", waiting() },
+            { "customer", pending->call.context.customer }, { "reason", jackdawwall::toText(reason) },
+            { "phase", static_cast<int>(target_.phase) }, { "running", running() }, { "waiting", waiting() },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
     pending->done({ GateStatus::Refused, reason, {}, feedback(*pending) });
 }
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -88,12 +88,9 @@
     {
         return caller == endpoint_.address() && mayHaveParent(runs_, timeLimit);
     }
-    /// Class of the run that makes a nested call with this time limit; empty when the call has a shorter
-    /// limit of its own.
-    std::optional<Priority> parentPriorityOf(absl::Time timeLimit) const
-    {
-        return parentPriority(runs_, timeLimit);
-    }
+    /// The run that makes a nested call with this time limit; null when the call has a shorter limit of its
+    /// own. Valid until the next call is offered or ends.
+    const ParentRun* parentRunOf(absl::Time timeLimit) const { return findParentRun(runs_, timeLimit); }
     int waiting() const { return static_cast<int>(decisions_.admission.waiting.size()); }
     int running() const { return inFlight(decisions_.admission); }
 
--- a/test/parent-run-test.cc
+++ b/test/parent-run-test.cc
@@ -28,36 +28,39 @@
     };
     test::forEachRow(table, [](const MatchRow& row) {
         ParentRuns runs;
-        const auto limit = addRun(runs, kStart + absl::Seconds(1), Priority::Critical, kStart);
+        const auto limit = addRun(runs, kStart + absl::Seconds(1), { Priority::Critical, "c" }, kStart);
         BOOST_REQUIRE(limit.has_value());
-        const auto priority = parentPriority(runs, *limit + row.fromRun);
-        BOOST_TEST(priority.has_value() == row.matches);
-        if (priority)
-            BOOST_TEST((*priority == Priority::Critical));
+        const ParentRun* run = findParentRun(runs, *limit + row.fromRun);
+        BOOST_TEST((run != nullptr) == row.matches);
+        if (run != nullptr)
+            BOOST_TEST((run->priority == Priority::Critical && run->customer == "c"));
     });
 }
 
-BOOST_AUTO_TEST_CASE(callsOfConcurrentRunsWithTheSameLimitKeepTheirClass)
+BOOST_AUTO_TEST_CASE(callsOfConcurrentRunsWithTheSameLimitKeepTheirClassAndCustomer)
 {
     ParentRuns runs;
     const absl::Time desired = kStart + absl::Milliseconds(1500);
-    const auto booking = addRun(runs, desired, Priority::Critical, kStart);
-    const auto read = addRun(runs, desired, Priority::Browse, kStart);
+    const auto booking = addRun(runs, desired, { Priority::Critical, "c" }, kStart);
+    const auto read = addRun(runs, desired, { Priority::Browse, "" }, kStart);
     BOOST_REQUIRE((booking && read));
     BOOST_TEST((*booking <= desired && *read <= desired));
     for (const absl::Duration transit : { absl::ZeroDuration(), absl::Milliseconds(4) }) {
-        BOOST_TEST((parentPriority(runs, *booking + transit) == Priority::Critical));
-        BOOST_TEST((parentPriority(runs, *read + transit) == Priority::Browse));
+        const ParentRun* bookingRun = findParentRun(runs, *booking + transit);
+        const ParentRun* readRun = findParentRun(runs, *read + transit);
+        BOOST_REQUIRE((bookingRun != nullptr && readRun != nullptr));
+        BOOST_TEST((bookingRun->priority == Priority::Critical && bookingRun->customer == "c"));
+        BOOST_TEST((readRun->priority == Priority::Browse && readRun->customer.empty()));
     }
     removeRun(runs, *booking);
-    BOOST_TEST(!parentPriority(runs, *booking).has_value());
+    BOOST_TEST((findParentRun(runs, *booking) == nullptr));
 }
 
 BOOST_AUTO_TEST_CASE(aCallThatOutlivesAllRunsHasNoParent)
 {
     ParentRuns runs;
     BOOST_TEST(!mayHaveParent(runs, kStart));
-    const auto limit = addRun(runs, kStart + absl::Seconds(1), Priority::Browse, kStart);
+    const auto limit = addRun(runs, kStart + absl::Seconds(1), { Priority::Browse, "" }, kStart);
     BOOST_REQUIRE(limit.has_value());
     BOOST_TEST(mayHaveParent(runs, *limit));
     BOOST_TEST(mayHaveParent(runs, *limit - absl::Milliseconds(300)));
@@ -70,7 +73,7 @@
     const absl::Time desired = kStart + absl::Seconds(2);
     int registered = 0;
     for (int run = 0; run < 40; ++run) {
-        const auto limit = addRun(runs, desired, Priority::Browse, kStart);
+        const auto limit = addRun(runs, desired, { Priority::Browse, "" }, kStart);
         registered += limit ? 1 : 0;
         if (limit)
             BOOST_TEST((*limit > desired - absl::Milliseconds(100) && *limit <= desired));
@@ -81,7 +84,7 @@
 BOOST_AUTO_TEST_CASE(limitsAreWholeMillisecondsFromNow)
 {
     ParentRuns runs;
-    const auto limit = addRun(runs, kStart + absl::Microseconds(1500700), Priority::Browse, kStart);
+    const auto limit = addRun(runs, kStart + absl::Microseconds(1500700), { Priority::Browse, "" }, kStart);
     BOOST_TEST((limit == kStart + absl::Milliseconds(1500)));
 }
 
