Admission: fair queue between customers

Cause: acceptance looked at the length of a whole class, so one customer could fill the queue. Change: with customers, a class is ordered by virtual start time, and calls that cannot be served in time are refused, those of the customer with most waiting work first. Without customers the decisions stay as they are.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -5,6 +5,7 @@
 
 #include "jackdawwall/concurrency-limit.h"
 #include "jackdawwall/core.h"
+#include "jackdawwall/customer-queue.h"
 #include "jackdawwall/downstream-limit.h"
 #include "jackdawwall/fair-share.h"
 
@@ -26,7 +27,8 @@
 struct OfferedCall {
     CallId id = 0;
     Priority priority = Priority::Bulk;
-    std::uint64_t caller = 0; ///< stableHash of the caller's name.
+    std::uint64_t caller = 0; ///< Identifies the customer or, without one, the calling service.
+    bool hasCustomer = false; ///< Asks for fairness between customers, see AdmissionState::classQueues.
     double weight = 1;
     std::uint32_t rank = 0;
     std::uint32_t upstreamFraction = kRankCount; ///< Ranks below this passed all upstream nodes.
@@ -60,17 +62,18 @@
 
 enum class Verdict : std::uint8_t { Start, Wait, Refuse };
 
-struct Decision {
-    Verdict verdict = Verdict::Refuse;
-    Reason reason = Reason::None;
-};
-
 /// A queued call that has been refused.
 struct RefusedCall {
     CallId id = 0;
     Reason reason = Reason::None;
 };
 
+struct Decision {
+    Verdict verdict = Verdict::Refuse;
+    Reason reason = Reason::None;
+    std::vector<RefusedCall> refused {}; ///< Queued calls that the offered call displaced.
+};
+
 /// Queued calls that have been started or refused.
 struct QueueUpdate {
     std::vector<CallId> started;
@@ -78,11 +81,11 @@
 };
 
 /// Sort key of the queue: priority class, then short before long calls, then the virtual finish time of the
-/// caller.
+/// caller. With customers: priority class, then the customer's virtual start time (customer-queue.h).
 struct QueuePosition {
     Priority priority = Priority::Bulk;
     bool isLong = false;
-    double finishTag = 0;
+    double tag = 0; ///< Virtual time.
     CallId id = 0;
 
     friend auto operator<=>(const QueuePosition&, const QueuePosition&) = default;
@@ -92,6 +95,8 @@
     OfferedCall call;
     QueuePosition position;
     absl::Time enqueuedAt;
+    bool isLong = false;
+    double work = 0; ///< Expected seconds when it was enqueued.
 };
 
 struct RunningCall {
@@ -119,6 +124,9 @@
     absl::flat_hash_map<CallId, WaitingCall> waiting;
     absl::btree_set<QueuePosition> queue;
     std::array<std::size_t, kPriorityCount> waitingByClass {};
+    bool hasCustomers = false; ///< Set by the first call with a customer, for the lifetime of the process.
+                               ///< Calls without a customer then take part by their calling service.
+    std::array<ClassQueue, kPriorityCount> classQueues; ///< The waiting calls; used only with customers.
     absl::flat_hash_map<CallId, RunningCall> running;
 };
 
@@ -153,6 +161,10 @@
 /// Ranks below this are currently served for this caller and class; responses report it upstream.
 std::uint32_t admittedFraction(const AdmissionState& state, Priority priority, std::uint64_t caller);
 
+/// Expected time at the target of the queued calls of this customer (OfferedCall::caller) and class. Zero
+/// without customers.
+absl::Duration waitingWork(const AdmissionState& state, Priority priority, std::uint64_t customer);
+
 /// Number of calls in progress at the target.
 int inFlight(const AdmissionState& state);
 
--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -197,6 +197,9 @@
 void closeCall(
     NodeDecisions& decisions, const OutboundCall& call, const AttemptResult& result, absl::Time now);
 
+/// Key of fairness between callers: identifies the customer or, without one, the calling service.
+std::uint64_t fairnessKey(const CallContext& context);
+
 /// Converts the metadata of a call to the form that admission control takes.
 OfferedCall makeOfferedCall(const CallContext& context, CallId id, std::uint64_t bodyBytes);
 
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <utility>
 
 namespace jackdawwall {
 namespace {
@@ -40,11 +42,32 @@
     return std::max(1, static_cast<int>(limit - std::max(1.0, reserve)));
 }
 
-bool hasCapacity(const AdmissionState& state, CostKey cost, bool isLong)
+ClassQueue& classQueue(AdmissionState& state, Priority priority)
 {
-    if (inFlight(state) >= currentLimit(state.limit) || !mayStart(state.downstream, cost))
+    return state.classQueues.at(static_cast<std::size_t>(priority));
+}
+
+const ClassQueue& classQueue(const AdmissionState& state, Priority priority)
+{
+    return state.classQueues.at(static_cast<std::size_t>(priority));
+}
+
+/// As longCallLimit. Customers whose calls are long may also use the share of the limit that they have among
+/// the customers with waiting calls; otherwise the reserve for short calls would deny them their fair share.
+int longCallLimit(const AdmissionState& state, Priority priority)
+{
+    const ClassQueue& queue = classQueue(state, priority);
+    if (!state.hasCustomers || queue.longCustomers == 0)
+        return longCallLimit(state);
+    const double share = static_cast<double>(queue.longCustomers) / static_cast<double>(queue.byLoad.size());
+    return std::max(longCallLimit(state), static_cast<int>(std::lround(share * currentLimit(state.limit))));
+}
+
+bool hasCapacity(const AdmissionState& state, const OfferedCall& call, bool isLong)
+{
+    if (inFlight(state) >= currentLimit(state.limit) || !mayStart(state.downstream, call.cost))
         return false;
-    return !isLong || state.longInFlight < longCallLimit(state);
+    return !isLong || state.longInFlight < longCallLimit(state, call.priority);
 }
 
 void startCall(AdmissionState& state, const OfferedCall& call, bool isLong, absl::Time now)
@@ -64,9 +87,21 @@
     return tag;
 }
 
-void removeWaiting(AdmissionState& state, CallId id)
+QueuedWork queuedWork(const WaitingCall& waiting)
+{
+    return { waiting.call.caller, waiting.call.weight, waiting.work, waiting.isLong, waiting.call.id };
+}
+
+enum class Removal : std::uint8_t { Start, Drop };
+
+void removeWaiting(AdmissionState& state, CallId id, Removal removal = Removal::Drop)
 {
     const auto found = state.waiting.find(id);
+    if (state.hasCustomers) {
+        const WaitingCall& waiting = found->second;
+        (removal == Removal::Start ? removeStarted : removeRefused)(
+            classQueue(state, waiting.call.priority), queuedWork(waiting), waiting.position.tag);
+    }
     state.queue.erase(found->second.position);
     --state.waitingByClass.at(static_cast<std::size_t>(found->second.position.priority));
     state.waiting.erase(found);
@@ -76,10 +111,30 @@
 
 void enqueue(AdmissionState& state, const OfferedCall& call, bool isLong, absl::Time now)
 {
-    const QueuePosition position { call.priority, isLong, nextFinishTag(state, call), call.id };
-    state.queue.insert(position);
-    ++state.waitingByClass.at(static_cast<std::size_t>(position.priority));
-    state.waiting.emplace(call.id, WaitingCall { call, position, now });
+    WaitingCall waiting { call, { call.priority, isLong, 0, call.id }, now, isLong,
+        expectedSeconds(state, call.cost) };
+    if (state.hasCustomers) {
+        ClassQueue& queue = classQueue(state, call.priority);
+        // Short before long calls would starve customers that have only long calls.
+        waiting.position.isLong = false;
+        waiting.position.tag = startTagOf(queue, queuedWork(waiting));
+        addCall(queue, queuedWork(waiting), waiting.position.tag);
+    } else {
+        waiting.position.tag = nextFinishTag(state, call);
+    }
+    state.queue.insert(waiting.position);
+    ++state.waitingByClass.at(static_cast<std::size_t>(call.priority));
+    state.waiting.emplace(call.id, std::move(waiting));
+}
+
+/// Prepares the class queues for the first call with a customer. Calls that wait already keep their order.
+void startCustomers(AdmissionState& state)
+{
+    state.hasCustomers = true;
+    for (ClassQueue& queue : state.classQueues)
+        queue.virtualTime = queue.windowVirtualTime = state.virtualTime;
+    for (const auto& [id, waiting] : state.waiting)
+        addCall(classQueue(state, waiting.call.priority), queuedWork(waiting), waiting.position.tag);
 }
 
 absl::Duration waitTarget(const AdmissionState& state)
@@ -95,16 +150,34 @@
     return waitTarget(state) * state.options.maximumWaitTargets;
 }
 
-/// Expected wait of a call that is enqueued now.
+double availableSlots(const AdmissionState& state, const OfferedCall& call)
+{
+    double limit = currentLimit(state.limit);
+    if (isDependent(state.downstream, call.cost))
+        limit = std::min(limit, state.downstream.limit);
+    return std::max(1.0, limit);
+}
+
+/// Time to serve the waiting work of the more urgent classes and `seconds` of work of the call's class.
+absl::Duration drainTime(const AdmissionState& state, const OfferedCall& call, double seconds)
+{
+    for (std::size_t index = 0; index < static_cast<std::size_t>(call.priority); ++index)
+        seconds += state.classQueues.at(index).seconds;
+    return absl::Seconds(seconds / availableSlots(state, call));
+}
+
+/// Expected wait of a call that is enqueued now. With customers, it counts the calls that start before it.
 absl::Duration expectedWait(const AdmissionState& state, const OfferedCall& call)
 {
+    if (state.hasCustomers) {
+        const ClassQueue& queue = classQueue(state, call.priority);
+        return std::max(drainTime(state, call, workAhead(queue, call.caller)),
+            measuredWait(queue, { call.caller, call.weight, expectedSeconds(state, call.cost) }));
+    }
     std::size_t ahead = 0;
     for (std::size_t index = 0; index <= static_cast<std::size_t>(call.priority); ++index)
         ahead += state.waitingByClass.at(index);
-    double limit = currentLimit(state.limit);
-    if (isDependent(state.downstream, call.cost))
-        limit = std::min(limit, state.downstream.limit);
-    const double rounds = static_cast<double>(ahead) / std::max(1.0, limit);
+    const double rounds = static_cast<double>(ahead) / availableSlots(state, call);
     return absl::Seconds(rounds * state.meanTime);
 }
 
@@ -115,35 +188,51 @@
     const absl::Duration wait = expectedWait(state, call);
     if (wait > waitLimit(state, call))
         return true;
-    const bool isAboveFraction = call.rank >= admittedFraction(state, call.priority, call.caller);
+    const std::uint32_t fraction = admittedFraction(state, call.priority, call.caller);
+    // The demand that fractions follow includes retries and rounds a hot customer's fraction to 0. With
+    // customers, the queue alone decides on rank 0.
+    const bool isAboveFraction = call.rank >= (state.hasCustomers ? forwardedFraction(fraction) : fraction);
     return isAboveFraction && wait > std::max(waitTarget(state), call.maximumWait * kAboveFractionWaitShare);
 }
 
+/// Refuses queued calls until the class can be served in time with the offered call: the newest of the
+/// customer with most waiting work by weight. False if this is the customer of the offered call.
+bool displaceWaiting(AdmissionState& state, const OfferedCall& call, Decision& decision)
+{
+    const ClassQueue& queue = classQueue(state, call.priority);
+    const double work = expectedSeconds(state, call.cost);
+    while (drainTime(state, call, queue.seconds) > waitLimit(state, call)) {
+        const double load = waitingLoad(queue, call.caller) + work / std::max(call.weight, 0.01);
+        const std::optional<CallId> newest = newestCallOfLargest(queue, load);
+        if (!newest)
+            return false;
+        const OfferedCall& last = state.waiting.at(*newest).call;
+        if (last.caller == call.caller)
+            return false;
+        if (drainTime(state, last, queue.seconds) <= waitLimit(state, last))
+            return true; // It has a longer limit and is still served in time, after the offered call.
+        removeWaiting(state, *newest);
+        decision.refused.push_back({ *newest, Reason::Overload });
+    }
+    return true;
+}
+
 /// First queued call that may start now; the end of the queue if there is none.
 absl::btree_set<QueuePosition>::iterator nextStartable(AdmissionState& state)
 {
     if (inFlight(state) >= currentLimit(state.limit))
         return state.queue.end();
-    const bool isLongLimitReached = state.longInFlight >= longCallLimit(state);
+    std::array<bool, kPriorityCount> isLongLimitReached {};
+    for (std::size_t index = 0; index < kPriorityCount; ++index)
+        isLongLimitReached.at(index)
+            = state.longInFlight >= longCallLimit(state, static_cast<Priority>(index));
     return std::find_if(state.queue.begin(), state.queue.end(), [&](const QueuePosition& position) {
-        return (!position.isLong || !isLongLimitReached)
-            && mayStart(state.downstream, state.waiting.at(position.id).call.cost);
+        const WaitingCall& waiting = state.waiting.at(position.id);
+        return (!waiting.isLong || !isLongLimitReached.at(static_cast<std::size_t>(position.priority)))
+            && mayStart(state.downstream, waiting.call.cost);
     });
 }
 
-void startWaiting(AdmissionState& state, absl::Time now, QueueUpdate& update)
-{
-    for (auto next = nextStartable(state); next != state.queue.end(); next = nextStartable(state)) {
-        const QueuePosition position = *next;
-        const WaitingCall waiting = state.waiting.at(position.id);
-        state.virtualTime = std::max(state.virtualTime, position.finishTag);
-        state.totalWait += now - waiting.enqueuedAt;
-        removeWaiting(state, position.id);
-        startCall(state, waiting.call, position.isLong, now);
-        update.started.push_back(position.id);
-    }
-}
-
 Reason expiryReason(const AdmissionState& state, const WaitingCall& waiting, absl::Time now)
 {
     const absl::Duration expectedDuration = absl::Seconds(expectedSeconds(state, waiting.call.cost));
@@ -154,6 +243,25 @@
     return Reason::None;
 }
 
+void startWaiting(AdmissionState& state, absl::Time now, QueueUpdate& update)
+{
+    for (auto next = nextStartable(state); next != state.queue.end(); next = nextStartable(state)) {
+        const QueuePosition position = *next;
+        const WaitingCall waiting = state.waiting.at(position.id);
+        const Reason expired = state.hasCustomers ? expiryReason(state, waiting, now) : Reason::None;
+        if (expired != Reason::None) {
+            removeWaiting(state, position.id);
+            update.refused.push_back({ position.id, expired });
+            continue;
+        }
+        state.virtualTime = std::max(state.virtualTime, position.tag);
+        state.totalWait += now - waiting.enqueuedAt;
+        removeWaiting(state, position.id, Removal::Start);
+        startCall(state, waiting.call, waiting.isLong, now);
+        update.started.push_back(position.id);
+    }
+}
+
 void refuseExpired(AdmissionState& state, absl::Time now, QueueUpdate& update)
 {
     const std::size_t before = update.refused.size();
@@ -200,6 +308,8 @@
     state.shortDemand += kDemandWeight * (shortRate - state.shortDemand);
     state.shortWorkOffered = 0;
     allocateCapacity(state.share, state.options.share, window);
+    for (ClassQueue& queue : state.classQueues)
+        endWindow(queue, length);
     closeWindow(state.limit, state.options.limit, now);
     reclassifyRunning(state, now);
     state.windowStart = now;
@@ -245,19 +355,28 @@
 {
     if (state.isDraining)
         return { Verdict::Refuse, Reason::Leaving };
+    if (call.hasCustomer && !state.hasCustomers)
+        startCustomers(state);
     recordDemand(state, call);
     if (now + absl::Seconds(expectedSeconds(state, call.cost)) > call.deadline)
         return { Verdict::Refuse, Reason::Deadline };
     if (isRefusedForOverload(state, call))
         return { Verdict::Refuse, Reason::Overload };
+    Decision decision { Verdict::Wait, Reason::None };
+    if (state.hasCustomers && !displaceWaiting(state, call, decision)) {
+        decision.verdict = Verdict::Refuse;
+        decision.reason = Reason::Overload;
+        return decision;
+    }
     const bool isLong = isLongKind(state, call.cost);
-    const bool isNext = hasCapacity(state, call.cost, isLong) && nextStartable(state) == state.queue.end();
+    const bool isNext = hasCapacity(state, call, isLong) && nextStartable(state) == state.queue.end();
     if (isNext) {
         startCall(state, call, isLong, now);
-        return { Verdict::Start, Reason::None };
+        decision.verdict = Verdict::Start;
+        return decision;
     }
     enqueue(state, call, isLong, now);
-    return { Verdict::Wait, Reason::None };
+    return decision;
 }
 
 QueueUpdate finishCall(
@@ -310,6 +429,13 @@
     return admittedFraction(state.share, ShareKey { priority, caller });
 }
 
+absl::Duration waitingWork(const AdmissionState& state, Priority priority, std::uint64_t customer)
+{
+    const ClassQueue& queue = classQueue(state, priority);
+    const auto found = queue.customers.find(customer);
+    return found == queue.customers.end() ? absl::ZeroDuration() : absl::Seconds(found->second.seconds);
+}
+
 int inFlight(const AdmissionState& state)
 {
     return static_cast<int>(state.running.size());
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -312,12 +312,19 @@
         parent.downstreamTime += now - parent.childrenPendingSince;
 }
 
+std::uint64_t fairnessKey(const CallContext& context)
+{
+    // Mixed, so that a customer never shares the key of a service of the same name.
+    return context.customer.empty() ? stableHash(context.caller) : mixBits(stableHash(context.customer));
+}
+
 OfferedCall makeOfferedCall(const CallContext& context, CallId id, std::uint64_t bodyBytes)
 {
     OfferedCall offer;
     offer.id = id;
     offer.priority = context.priority;
-    offer.caller = stableHash(context.caller);
+    offer.caller = fairnessKey(context);
+    offer.hasCustomer = !context.customer.empty();
     offer.weight = context.weight;
     offer.rank = context.rank;
     offer.upstreamFraction = context.upstreamFraction;
@@ -334,7 +341,7 @@
     InboundCall inbound;
     inbound.context = context;
     const std::uint32_t fraction
-        = admittedFraction(decisions.admission, context.priority, stableHash(context.caller));
+        = admittedFraction(decisions.admission, context.priority, fairnessKey(context));
     inbound.context.upstreamFraction
         = std::min(context.upstreamFraction, std::max(fraction, context.rank + 1));
     inbound.allowance.remaining = context.allowance;
@@ -346,8 +353,7 @@
 {
     CallFeedback feedback;
     feedback.unusedAllowance = context.allowance;
-    feedback.admitFraction
-        = admittedFraction(decisions.admission, context.priority, stableHash(context.caller));
+    feedback.admitFraction = admittedFraction(decisions.admission, context.priority, fairnessKey(context));
     feedback.inFlight = static_cast<std::uint32_t>(inFlight(decisions.admission));
     feedback.waiting = static_cast<std::uint32_t>(decisions.admission.waiting.size());
     const auto found = decisions.inbound.find(token);
