--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -1,9 +1,14 @@
 #include "adapter/metrics.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "absl/strings/string_view.h"
 
+#include <algorithm>
 #include <array>
+#include <tuple>
+#include <utility>
+#include <vector>
 
 namespace jackdawwall {
 namespace {
@@ -38,6 +43,40 @@
         absl::StrAppend(&text, name, "{", labels, "} ", count, "\n");
 }
 
+/// Escapes a label value of the text exposition format.
+std::string labelText(absl::string_view value)
+{
+    return absl::StrReplaceAll(value, { { "\\", "\\\\" }, { "\"", "\\\"" }, { "\n", "\\n" } });
+}
+
+/// Appends the customers with most refusals, and all others together.
+void appendCustomers(
+    std::string& text, const absl::flat_hash_map<std::string, CustomerOffers>& offers, CustomerOffers other)
+{
+    if (offers.empty())
+        return;
+    std::vector<std::pair<std::string, CustomerOffers>> sorted(offers.begin(), offers.end());
+    std::sort(sorted.begin(), sorted.end(), [](const auto& left, const auto& right) {
+        return std::tie(right.second.refused, left.first) < std::tie(left.second.refused, right.first);
+    });
+    while (sorted.size() > Metrics::kExposedCustomers) {
+        other.started += sorted.back().second.started;
+        other.refused += sorted.back().second.refused;
+        sorted.pop_back();
+    }
+    absl::StrAppend(&text,
+        "# HELP jackdaw_customer_offers Calls of customers offered to the own target, for the customers with "
+        "most refusals.\n# TYPE jackdaw_customer_offers gauge\n");
+    const auto append = [&](absl::string_view labels, const CustomerOffers& counts) {
+        absl::StrAppend(&text, "jackdaw_customer_offers{", labels, ",decision=\"started\"} ", counts.started,
+            "\njackdaw_customer_offers{", labels, ",decision=\"refused\"} ", counts.refused, "\n");
+    };
+    for (const auto& [name, counts] : sorted)
+        append(absl::StrCat("customer=\"", labelText(name), "\""), counts);
+    // A label of its own, because a customer may be named "other".
+    append("customer=\"\",rest=\"other\"", other);
+}
+
 void appendSummary(
     std::string& text, absl::string_view name, absl::string_view help, const TimeSummary& summary)
 {
@@ -101,6 +140,16 @@
     ++rejectedRequests_[absl::StrCat("status=\"", status, "\"")];
 }
 
+void Metrics::countCustomerOffer(absl::string_view customer, bool isRefused)
+{
+    const absl::MutexLock lock(&mutex_);
+    auto found = customerOffers_.find(customer);
+    if (found == customerOffers_.end() && customerOffers_.size() < kMaximumCustomers)
+        found = customerOffers_.try_emplace(customer).first;
+    CustomerOffers& counts = found == customerOffers_.end() ? otherCustomerOffers_ : found->second;
+    ++(isRefused ? counts.refused : counts.started);
+}
+
 std::string Metrics::expose(const std::string& gauges) const
 {
     const absl::MutexLock lock(&mutex_);
@@ -108,6 +157,7 @@
     appendOutcomes(text, "jackdaw_calls_total", "Calls taken from callers, by how they ended.", calls_);
     appendOutcomes(
         text, "jackdaw_offers_total", "Calls offered to the own target, by how they ended.", offers_);
+    appendCustomers(text, customerOffers_, otherCustomerOffers_);
     appendSummary(text, "jackdaw_call_seconds", "Time of calls taken from callers.", callTime_);
     appendCounter(text, "jackdaw_retries_total", "Attempts sent again.", retries_);
     appendCounter(text, "jackdaw_hedges_total", "Second copies sent beside a slow attempt.", hedges_);
--- a/src/adapter/metrics.h
+++ b/src/adapter/metrics.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
 
 namespace jackdawwall {
 
@@ -35,14 +36,28 @@
     friend auto operator<=>(const OutcomeLabels&, const OutcomeLabels&) = default;
 };
 
+/// Calls of one customer offered to the local target.
+struct CustomerOffers {
+    std::uint64_t started = 0;
+    std::uint64_t refused = 0;
+};
+
 class Metrics {
 public:
+    /// Customers that are counted one by one. Bounds the memory when names change with the configuration.
+    static constexpr std::size_t kMaximumCustomers = 1024;
+    /// Customers that are exposed by name: those with most refusals. The rest is exposed as "other".
+    static constexpr std::size_t kExposedCustomers = 10;
+
     Metrics();
 
     /// Counts a call received from a caller, with its total time.
     void countCall(const OutcomeLabels& labels, absl::Duration time);
     /// Counts a call offered to the local target.
     void countOffer(const OutcomeLabels& labels);
+    /// Counts a call of a customer offered to the local target. Customers over `kMaximumCustomers` are
+    /// counted together.
+    void countCustomerOffer(absl::string_view customer, bool isRefused);
     void countRetry();
     void countHedge();
     void countControlBytes(std::uint64_t sent);
@@ -58,6 +73,8 @@
     mutable absl::Mutex mutex_;
     absl::btree_map<OutcomeLabels, std::uint64_t> calls_ ABSL_GUARDED_BY(mutex_);
     absl::btree_map<OutcomeLabels, std::uint64_t> offers_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<std::string, CustomerOffers> customerOffers_ ABSL_GUARDED_BY(mutex_);
+    CustomerOffers otherCustomerOffers_ ABSL_GUARDED_BY(mutex_); ///< Over kMaximumCustomers.
     TimeSummary callTime_ ABSL_GUARDED_BY(mutex_);
     std::uint64_t retries_ ABSL_GUARDED_BY(mutex_) = 0;
     std::uint64_t hedges_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -97,6 +97,7 @@
         run(id);
     else if (decision.verdict == Verdict::Refuse)
         refuse(id, decision.reason);
+    apply({ {}, decision.refused });
     return id;
 }
 
@@ -254,6 +255,10 @@
         { { "request", pending->call.context.requestId }, { "route", pending->call.context.kind },
             { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
             { "running", running() }, { "waiting", waiting() },
+            { "customer", pending->call.context.customer },
+            { "customer_waiting_ms",
+                absl::ToInt64Milliseconds(waitingWork(decisions_.admission, pending->call.context.priority,
+                    fairnessKey(pending->call.context))) },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
     pending->done({ GateStatus::Refused, reason, {}, feedback(*pending) });
 }
@@ -262,6 +267,8 @@
 void TargetGate::countOffer(const PendingCall& pending, Outcome outcome, Reason reason)
 {
     metrics_.countOffer({ pending.call.context.priority, outcome, reason });
+    if (!pending.call.context.customer.empty())
+        metrics_.countCustomerOffer(pending.call.context.customer, outcome == Outcome::NotRun);
 }
 
 void TargetGate::apply(const QueueUpdate& update)
