--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -104,6 +104,8 @@
     absl::Time startedAt;
     int inFlightAtStart = 0;
     bool isLong = false;
+    Priority priority = Priority::Bulk;
+    QueuedWork charged {}; ///< With customers, of a call that was started from the queue.
 };
 
 struct AdmissionState {
--- a/include/jackdawwall/customer-queue.h
+++ b/include/jackdawwall/customer-queue.h
@@ -34,6 +34,7 @@
 struct CustomerCalls {
     double weight = 1; ///< Of the newest call.
     double seconds = 0; ///< Of the waiting calls.
+    std::size_t runningCount = 0; ///< Calls that were started from the queue and have not ended.
     std::size_t longCount = 0; ///< Waiting calls of long kinds.
     double finishTag = 0; ///< Virtual finish time of the newest call that was not refused.
     double credit = 0; ///< Virtual time by which `finishTag` may be in the past, see startTagOf().
@@ -62,6 +63,11 @@
 /// Removes a call that was added with the same arguments and is started.
 void removeStarted(ClassQueue& queue, const QueuedWork& work, double startTag);
 
+/// Ends a call that was started from the queue after `seconds` of work. The customer is charged this time
+/// instead of the expected one, which is that of the work kind: other customers may use the same kind for
+/// shorter calls, and it is learned slowly.
+void recordEnd(ClassQueue& queue, const QueuedWork& work, double seconds);
+
 /// Removes a call that was added with the same arguments and does not run: the customer isn't charged for it.
 void removeRefused(ClassQueue& queue, const QueuedWork& work, double startTag);
 
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -53,14 +53,19 @@
 }
 
 /// As longCallLimit. Customers whose calls are long may also use the share of the limit that they have among
-/// the customers with waiting calls; otherwise the reserve for short calls would deny them their fair share.
+/// the customers with waiting calls, and its variation; otherwise the reserve for short calls would deny them
+/// their fair share.
 int longCallLimit(const AdmissionState& state, Priority priority)
 {
     const ClassQueue& queue = classQueue(state, priority);
     if (!state.hasCustomers || queue.longCustomers == 0)
         return longCallLimit(state);
-    const double share = static_cast<double>(queue.longCustomers) / static_cast<double>(queue.byLoad.size());
-    return std::max(longCallLimit(state), static_cast<int>(std::lround(share * currentLimit(state.limit))));
+    const double limit = currentLimit(state.limit);
+    const double expected
+        = limit * static_cast<double>(queue.longCustomers) / static_cast<double>(queue.byLoad.size());
+    const double desired = expected + state.options.reserveDeviations * std::sqrt(expected);
+    const double maximum = (1 - state.options.minimumReserve) * limit;
+    return std::max(longCallLimit(state), static_cast<int>(std::min(desired, maximum)));
 }
 
 bool hasCapacity(const AdmissionState& state, const OfferedCall& call, bool isLong)
@@ -72,7 +77,7 @@
 
 void startCall(AdmissionState& state, const OfferedCall& call, bool isLong, absl::Time now)
 {
-    const RunningCall running { call.cost, now, inFlight(state), isLong };
+    const RunningCall running { call.cost, now, inFlight(state), isLong, call.priority };
     state.running.emplace(call.id, running);
     state.longInFlight += isLong ? 1 : 0;
     ++state.startedCount;
@@ -258,6 +263,8 @@
         state.totalWait += now - waiting.enqueuedAt;
         removeWaiting(state, position.id, Removal::Start);
         startCall(state, waiting.call, waiting.isLong, now);
+        if (state.hasCustomers)
+            state.running.at(position.id).charged = queuedWork(waiting);
         update.started.push_back(position.id);
     }
 }
@@ -389,6 +396,9 @@
     const RunningCall running = found->second;
     state.running.erase(found);
     state.longInFlight -= running.isLong ? 1 : 0;
+    if (running.charged.seconds > 0)
+        recordEnd(classQueue(state, running.priority), running.charged,
+            absl::ToDoubleSeconds(now - running.startedAt));
     recordDownstreamEnd(state.downstream, running.cost, result == RunResult::Failed);
     if (result == RunResult::Completed || result == RunResult::Failed)
         recordCompletion(state, running, downstreamTime, now);
--- a/src/customer-queue.cc
+++ b/src/customer-queue.cc
@@ -18,6 +18,14 @@
     return work.seconds / std::max(work.weight, kMinimumWeight);
 }
 
+/// The customer's next call must not start before its waiting calls.
+void addToFinishTag(CustomerCalls& calls, double seconds)
+{
+    calls.finishTag += seconds;
+    if (!calls.byTag.empty())
+        calls.finishTag = std::max(calls.finishTag, calls.byTag.rbegin()->first);
+}
+
 /// A queue without waiting calls has spare capacity, so nothing that was served before counts any more. The
 /// sums restart as well: they are sums of differences and keep a rounding error.
 void endBusyPeriod(ClassQueue& queue)
@@ -79,8 +87,19 @@
 {
     queue.virtualTime = std::max(queue.virtualTime, startTag);
     const auto found = queue.customers.find(work.customer);
-    if (found != queue.customers.end())
-        removeCall(queue, found->second, work, startTag);
+    if (found == queue.customers.end())
+        return;
+    ++found->second.runningCount;
+    removeCall(queue, found->second, work, startTag);
+}
+
+void recordEnd(ClassQueue& queue, const QueuedWork& work, double seconds)
+{
+    const auto found = queue.customers.find(work.customer);
+    if (found == queue.customers.end() || found->second.runningCount == 0)
+        return; // Started in an earlier busy period.
+    --found->second.runningCount;
+    addToFinishTag(found->second, (seconds - work.seconds) / std::max(work.weight, kMinimumWeight));
 }
 
 void removeRefused(ClassQueue& queue, const QueuedWork& work, double startTag)
@@ -89,9 +108,7 @@
     if (found == queue.customers.end())
         return;
     CustomerCalls& calls = found->second;
-    calls.finishTag -= virtualSeconds(work);
-    if (calls.byTag.size() > 1) // The next call must not start before the customer's waiting calls.
-        calls.finishTag = std::max(calls.finishTag, calls.byTag.rbegin()->first);
+    addToFinishTag(calls, -virtualSeconds(work));
     removeCall(queue, calls, work, startTag);
 }
 
@@ -105,7 +122,8 @@
     queue.hasBeenEmpty = queue.byLoad.empty();
     absl::erase_if(queue.customers, [&](const auto& item) {
         const CustomerCalls& calls = item.second;
-        return calls.byTag.empty() && calls.finishTag + calls.credit < queue.virtualTime;
+        return calls.byTag.empty() && calls.runningCount == 0
+            && calls.finishTag + calls.credit < queue.virtualTime;
     });
 }
 
