--- a/test/admission-load.h
+++ b/test/admission-load.h
@@ -22,6 +22,7 @@
     double callSeconds = 0.01; ///< Mean; single calls take 0.5 to 1.5 times as long.
     Priority priority = Priority::Browse;
     std::uint32_t weight = 1;
+    std::string kind {}; ///< Work kind; empty: one for each mean.
     int retries = 0; ///< Times that a refused call is offered again, 1 ms after each refusal.
 };
 
@@ -152,7 +153,7 @@
         const LoadCustomer& customer = load_.customers[call.customer];
         CallContext context;
         (form_ == CallForm::Customer ? context.customer : context.caller) = customer.name;
-        context.kind = absl::StrCat("kind-", customer.callSeconds);
+        context.kind = customer.kind.empty() ? absl::StrCat("kind-", customer.callSeconds) : customer.kind;
         context.priority = customer.priority;
         context.weight = customer.weight;
         context.deadline
--- a/test/customer-loads.h
+++ b/test/customer-loads.h
@@ -63,6 +63,26 @@
     return withCapacity(std::move(customers), 0.7);
 }
 
+/// As longCalls(), but all calls are of one kind, so the node expects the same time of all.
+inline Load longCallsOfSameKind()
+{
+    Load load = longCalls();
+    for (LoadCustomer& customer : load.customers)
+        customer.kind = "read";
+    return load;
+}
+
+/// Half of the customers have calls that take 10 times as long as those of the others.
+inline Load longCallsOfHalf()
+{
+    std::vector<LoadCustomer> customers = equalCustomers(30, 20);
+    for (std::size_t index = 0; index < 15; ++index) {
+        customers[index].callSeconds *= 10;
+        customers[index].callsPerSecond /= 10;
+    }
+    return withCapacity(std::move(customers), 0.7);
+}
+
 /// One customer offers each refused call again at once, up to 20 times.
 inline Load immediateRetries()
 {
--- a/test/fair-customers-test.cc
+++ b/test/fair-customers-test.cc
@@ -100,6 +100,8 @@
         { "one of 84 customers has 7.5 times its usual demand", test::hotCustomer() },
         { "400 small customers and a large one", test::manySmallCustomers() },
         { "a customer whose calls take 20 times as long", test::longCalls() },
+        { "the same, all of one kind", test::longCallsOfSameKind() },
+        { "half of the customers have long calls", test::longCallsOfHalf() },
         { "a customer that retries at once", test::immediateRetries() },
         { "two classes", test::twoClasses() },
         { "weights 3 and 1", test::weights() },
