--- a/src/admission.cc
+++ b/src/admission.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
-#include <utility>
 
 namespace jackdawwall {
 namespace {
@@ -129,7 +128,7 @@
     }
     state.queue.insert(waiting.position);
     ++state.waitingByClass.at(static_cast<std::size_t>(call.priority));
-    state.waiting.emplace(call.id, std::move(waiting));
+    state.waiting.emplace(call.id, waiting);
 }
 
 /// Prepares the class queues for the first call with a customer. Calls that wait already keep their order.
