Check withdrawn keys again, and log no headers of rejected requests

Cause: a key may be withdrawn while a request waits; the logged start of a rejected request could hold a key. Change: the key is looked up again before each attempt if the version changed, and for calls that are queued for the local target when a version is applied; it answers 401 (reason key-withdrawn). A rejected request is logged with method and path only.

--- a/include/jackdawwall/core.h
+++ b/include/jackdawwall/core.h
@@ -36,6 +36,7 @@
     BadRequest,
     Cancelled,
     ResponseTooLarge,
+    KeyWithdrawn,
 };
 
 /// Text used in response headers, logs and metrics, e.g. "not-run".
--- a/src/relay/call-interface.h
+++ b/src/relay/call-interface.h
@@ -33,6 +33,9 @@
 struct CallInterface {
     /// Resolves a request; may remove headers that are not meant for the target.
     std::function<OpenedCall(RelayState&, IncomingRequest&)> open;
+    /// Checks the key of an opened call again if the configuration has changed since; false if it is no
+    /// longer a key of the call's customer. Null: calls have no keys.
+    std::function<bool(RelayState&, OutboundCall&)> isKeyValid;
     /// Builds the response for a failure. `callerRemainingTime`: how long the caller will still wait.
     std::function<Response(const CallFailure&, absl::Duration callerRemainingTime)> makeFailureResponse;
     /// Adds headers to a target's response before it is forwarded; may be null.
--- a/src/relay/caller-call.cc
+++ b/src/relay/caller-call.cc
@@ -123,8 +123,30 @@
     return call;
 }
 
+/// Ends a call whose key is no longer valid. Call it only while no attempt is in progress.
+bool CallerCall::refuseIfKeyWithdrawn()
+{
+    if (!interface_.isKeyValid || interface_.isKeyValid(state_, call_))
+        return false;
+    // An earlier attempt may have run; its result is the truth then.
+    fail(finalResult(call_, { Outcome::NotRun, Reason::KeyWithdrawn, false }));
+    return true;
+}
+
+void CallerCall::onConfigurationApplied()
+{
+    const bool isQueued = pendingAttempts_.size() == 1 && pendingAttempts_.front()->gateId != 0
+        && state_.gate.isWaiting(pendingAttempts_.front()->gateId);
+    if (isDone_ || !isQueued || call_.key.empty() || interface_.isKeyValid(state_, call_))
+        return;
+    abortAttempts();
+    fail(finalResult(call_, { Outcome::NotRun, Reason::KeyWithdrawn, false }));
+}
+
 void CallerCall::sendNext()
 {
+    if (refuseIfKeyWithdrawn())
+        return;
     const auto attempt = jackdawwall::startAttempt(state_.decisions, call_, steadyNow());
     if (attempt)
         send(*attempt);
--- a/src/relay/caller-call.h
+++ b/src/relay/caller-call.h
@@ -17,6 +17,8 @@
         RelayState& state, const CallInterface& interface, IncomingRequestPtr incoming, OutboundCall call);
 
     void start();
+    /// Refuses the call if its key was withdrawn while it waits for the local target.
+    void onConfigurationApplied();
     /// Aborts the attempts in progress and responds with a timeout.
     void onDeadline();
 
@@ -40,6 +42,7 @@
     void fail(const AttemptResult& end, const std::string& detail = "");
     void close(const AttemptResult& end, unsigned status);
     void abandon();
+    bool refuseIfKeyWithdrawn();
     void abortAttempts();
     void cancel(const PendingAttemptPtr& pending);
 
--- a/src/relay/caller-gate.cc
+++ b/src/relay/caller-gate.cc
@@ -18,6 +18,15 @@
     call->start();
 }
 
+void CallerGate::onConfigurationApplied()
+{
+    const auto calls = calls_; // Copied because each response removes its call from the list.
+    for (const auto& weakCall : calls) {
+        if (const auto call = weakCall.lock())
+            call->onConfigurationApplied();
+    }
+}
+
 void CallerGate::failPendingCalls()
 {
     const auto calls = calls_; // Copied because each response removes its call from the list.
--- a/src/relay/caller-gate.h
+++ b/src/relay/caller-gate.h
@@ -20,6 +20,8 @@
 
     /// Handles a request of a caller or of the local target.
     void accept(const IncomingRequestPtr& incoming);
+    /// Refuses the queued calls whose key the new configuration has withdrawn.
+    void onConfigurationApplied();
     /// Ends all pending calls with a timeout response. Called before the process exits.
     void failPendingCalls();
 
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -46,7 +46,7 @@
 struct RejectedRequest {
     unsigned status = 0;
     std::string error;
-    std::string start; ///< First bytes that were not parsed, escaped.
+    std::string start; ///< Start of the request line, escaped; see request-start.h.
     asio::ip::address remoteAddress;
 };
 
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -1,6 +1,7 @@
 #include "relay/http-session.h"
 
-#include "absl/strings/escaping.h"
+#include "relay/request-start.h"
+
 #include "absl/strings/match.h"
 
 #include <boost/asio/write.hpp>
@@ -23,8 +24,6 @@
 /// Retry delay for callers whose body exceeds the buffer budget.
 constexpr absl::Duration kBusyRetryAfter = absl::Milliseconds(300);
 constexpr unsigned kPayloadTooLarge = 413;
-/// Bytes of a rejected request that are logged.
-constexpr std::size_t kMaxLoggedBytes = 60;
 
 bool mayRunConcurrently(const IncomingRequest& incoming)
 {
@@ -196,7 +195,7 @@
     incoming->response->keep_alive(false);
     if (listener_.onRejected) {
         listener_.onRejected({ static_cast<unsigned>(status), std::string(text),
-            absl::CHexEscape(unparsedBytes().substr(0, kMaxLoggedBytes)), remoteAddress_ });
+            loggableStart(parser_ ? &parser_->get() : nullptr, unparsedBytes()), remoteAddress_ });
     }
     parser_.reset();
     hasPartialRequest_ = false;
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -385,6 +385,7 @@
     if (state_.configuration.document.empty())
         state_.configuration.document = document;
     state_.configuration.appliedAt = absl::Now();
+    callerGate_.onConfigurationApplied();
     peerLink_.announce();
     return true;
 }
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -106,8 +106,24 @@
     return call;
 }
 
+bool isKeyValid(RelayState& state, OutboundCall& call)
+{
+    const RouteTable& table = *state.configuration.table;
+    if (call.key.empty() || call.keyVersion == table.version || table.customers.empty())
+        return true;
+    const CallerEntry* customer = findCustomer(table, call.key);
+    if (customer == nullptr || customer->name != call.context.customer) {
+        recordRefusedKey(state, call.context.requestId, call.context.kind, "withdrawn");
+        return false;
+    }
+    call.keyVersion = table.version;
+    return true;
+}
+
 Response makeFailureResponse(const CallFailure& failure, absl::Duration callerRemainingTime)
 {
+    if (failure.reason == Reason::KeyWithdrawn)
+        return makeTextResponse(http::status::unauthorized, "not run; no known key\n");
     if (failure.reason == Reason::Timeout)
         return makeTextResponse(http::status::gateway_timeout, "the time limit has passed\n");
     if (failure.outcome != Outcome::NotRun && !isSafeguardDisabled("true-refusals"))
@@ -123,6 +139,7 @@
 {
     CallInterface result;
     result.open = open;
+    result.isKeyValid = isKeyValid;
     result.makeFailureResponse = makeFailureResponse;
     return result;
 }
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -72,6 +72,8 @@
     /// Withdraws a queued call, or closes a running call's connection to the target. Its callback isn't
     /// called.
     void cancel(CallId id);
+    /// True while an offered call is queued.
+    bool isWaiting(CallId id) const { return decisions_.admission.waiting.contains(id); }
     /// Applies the state that the target reports. Queued calls are refused when the target stops serving.
     void updateTarget(const TargetState& target);
     /// Number of nodes with targets of the same service, including this one.
--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -138,10 +138,9 @@
     std::vector<Watch> watches_;
 };
 
-/// Makes a node use the platform's store and decoder instead of those of the tests.
-inline void usePlatformStore(TestNode& node, platform::ObjectStore& client)
+/// Makes a node use the platform's decoder of configurations instead of that of the tests.
+inline void usePlatformDecoder(TestNode& node)
 {
-    node.port.store = client.port();
     node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
         absl::StatusOr<platform::DecodedConfiguration> decoded = platform::decodeConfiguration(text);
         if (!decoded.ok())
@@ -150,4 +149,11 @@
     };
 }
 
+/// Makes a node use the platform's store and decoder instead of those of the tests.
+inline void usePlatformStore(TestNode& node, platform::ObjectStore& client)
+{
+    node.port.store = client.port();
+    usePlatformDecoder(node);
+}
+
 } // namespace jackdawwall::relay::test
