--- a/include/jackdawwall/parent-run.h
+++ b/include/jackdawwall/parent-run.h
@@ -36,8 +36,15 @@
 /// Removes a run that ended.
 void removeRun(ParentRuns& runs, absl::Time limit);
 
-/// True if a call with this time limit may belong to a run in progress: it does not outlive all of them.
-bool mayHaveParent(const ParentRuns& runs, absl::Time limit);
+/// Time that a request of a run and its nested call may spend in transit together.
+inline constexpr absl::Duration kMaxNestedTransit = absl::Milliseconds(6);
+/// The same on a loaded instance, where a process may wait this long for the processor. Used where a call
+/// that is not recognized as nested would be refused.
+inline constexpr absl::Duration kMaxLoadedTransit = absl::Milliseconds(250);
+
+/// True if a call with this time limit may belong to a run in progress: it does not outlive all of them by
+/// more than `maxTransit`.
+bool mayHaveParent(const ParentRuns& runs, absl::Time limit, absl::Duration maxTransit = kMaxNestedTransit);
 
 /// The run that a call with this time limit belongs to; null if there is none. Valid until the runs change.
 const ParentRun* findParentRun(const ParentRuns& runs, absl::Time limit);
--- a/src/parent-run.cc
+++ b/src/parent-run.cc
@@ -9,7 +9,6 @@
 /// The limit of a nested call lies between these distances from that of its run: it is rounded down to
 /// milliseconds, and is extended by the time that the request and the call are in transit.
 constexpr absl::Duration kMaxRounding = absl::Milliseconds(2);
-constexpr absl::Duration kMaxTransit = absl::Milliseconds(6);
 /// Sum of both, so that the ranges of two runs do not overlap.
 constexpr absl::Duration kSpacing = absl::Milliseconds(8);
 /// Largest reduction of a run's time limit.
@@ -37,9 +36,9 @@
     runs.byLimit.erase(limit);
 }
 
-bool mayHaveParent(const ParentRuns& runs, absl::Time limit)
+bool mayHaveParent(const ParentRuns& runs, absl::Time limit, absl::Duration maxTransit)
 {
-    return !runs.byLimit.empty() && limit - runs.byLimit.rbegin()->first <= kMaxTransit;
+    return !runs.byLimit.empty() && limit - runs.byLimit.rbegin()->first <= maxTransit;
 }
 
 const ParentRun* findParentRun(const ParentRuns& runs, absl::Time limit)
@@ -48,7 +47,7 @@
     if (after == runs.byLimit.begin())
         return nullptr;
     const auto run = std::prev(after);
-    if (limit - run->first > kMaxTransit)
+    if (limit - run->first > kMaxNestedTransit)
         return nullptr;
     return &run->second;
 }
--- a/test/parent-run-test.cc
+++ b/test/parent-run-test.cc
@@ -65,6 +65,10 @@
     BOOST_TEST(mayHaveParent(runs, *limit));
     BOOST_TEST(mayHaveParent(runs, *limit - absl::Milliseconds(300)));
     BOOST_TEST(!mayHaveParent(runs, kStart + absl::Seconds(5)));
+    // Guards against a nested call that is refused because the instance was busy while it was in transit.
+    BOOST_TEST(!mayHaveParent(runs, *limit + absl::Milliseconds(200)));
+    BOOST_TEST(mayHaveParent(runs, *limit + absl::Milliseconds(200), kMaxLoadedTransit));
+    BOOST_TEST(!mayHaveParent(runs, *limit + absl::Milliseconds(300), kMaxLoadedTransit));
 }
 
 BOOST_AUTO_TEST_CASE(aLimitIsReducedOnlySlightly)
