Choose targets by reported speed and load with the setting balance

Cause: one local and one remote target were compared by smoothed latency; a node knew nothing of a target's speed or free slots, and subsets ignored how data centres differ.

Change: RoutingOptions::balance (setting "balance": "speed", off by default). Responses then carry running calls, limit, queued calls and mean call time of the gate; two local targets are sampled by weight and compared by expected completion, remote ones are used when the local wait exceeds the remote cost and they have room. Subsets are balanced by weighted rendezvous hashing.

--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -56,6 +56,7 @@
     std::uint32_t inFlight = 0;
     std::uint32_t waiting = 0;
     bool hasDownstreamFailure = false;
+    std::optional<GateLoad> load {}; ///< Only with Balance::Speed.
 };
 
 /// A call that the local target is processing.
@@ -207,6 +208,9 @@
 /// the feedback and can no longer be used by this node.
 CallFeedback feedbackFor(NodeDecisions& decisions, const CallContext& context, CallToken token);
 
+/// Load of the local target's gate, as reported with responses; empty unless Balance::Speed is set.
+std::optional<GateLoad> gateLoad(const NodeDecisions& decisions);
+
 /// Ends an inbound call whose response was forwarded or lost. Returns the time that the target spent waiting
 /// for other services.
 absl::Duration closeInbound(NodeDecisions& decisions, CallToken token, absl::Time now);
--- a/include/jackdawwall/routing.h
+++ b/include/jackdawwall/routing.h
@@ -6,6 +6,7 @@
 
 #include "jackdawwall/core.h"
 #include "jackdawwall/fair-share.h"
+#include "jackdawwall/target-load.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
@@ -13,6 +14,7 @@
 #include "absl/types/span.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -22,7 +24,17 @@
 /// Seeded by the adapter; the library uses no other source of randomness.
 using Generator = std::mt19937_64;
 
+/// How a target is chosen.
+enum class Balance : std::uint8_t {
+    Latency, ///< One local and one remote choice, by smoothed latency and calls ahead.
+    Speed, ///< Two local choices, then remote ones with free slots, by reported speed and load.
+};
+
 struct RoutingOptions {
+    Balance balance = Balance::Latency;
+    LoadOptions load; ///< For Balance::Speed.
+    /// Balance::Speed: a remote target without a recent report is tried at most this often.
+    absl::Duration remoteTrialInterval = absl::Milliseconds(500);
     std::size_t subsetSize = 16; ///< Number of targets of a service that one node uses.
     absl::Duration failureBackoff
         = absl::Seconds(1); ///< A failed target is avoided this long if others are available.
@@ -49,6 +61,7 @@
     absl::Time latencyAt = absl::InfinitePast();
     absl::Time avoidUntil = absl::InfinitePast();
     std::uint32_t waiting = 0; ///< Queue length reported with the last response.
+    TargetLoad load; ///< For Balance::Speed.
 };
 
 /// The calls of one caller for one kind of work at one service.
@@ -74,6 +87,8 @@
     RoutingOptions options;
     absl::flat_hash_map<std::string, TargetView> targets;
     absl::flat_hash_map<PathKey, PathLevel> levels;
+    std::uint64_t localStarts = 0; ///< Attempts to targets in this data centre.
+    std::uint64_t remoteStarts = 0; ///< Attempts to targets in other data centres.
 };
 
 /// The members of a service that `self` sends calls to: first those of its own data centre, then the others,
@@ -91,8 +106,12 @@
 int pickTarget(const RoutingState& state, absl::Span<const Candidate> candidates,
     const RoutingRequest& request, Generator& generator, absl::Time now);
 
+/// What is assumed of each candidate now, in the same order. For Balance::Speed.
+std::vector<TargetBelief> believedLoads(
+    const RoutingState& state, absl::Span<const Candidate> candidates, absl::Time now);
+
 /// Records that an attempt was sent to `address`.
-void recordAttemptStart(RoutingState& state, const std::string& address);
+void recordAttemptStart(RoutingState& state, const std::string& address, absl::Time now);
 
 /// What was observed of one attempt when it ended.
 struct AttemptObservation {
@@ -100,6 +119,7 @@
     bool isTargetAtFault = false; ///< Unreachable, disconnected or shedding: avoided for a while.
     absl::Duration latency;
     std::uint32_t waiting = 0;
+    std::optional<GateLoad> load {}; ///< Reported with the response.
 };
 
 /// Records that an attempt ended.
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -1,5 +1,7 @@
 #include "jackdawwall/call-flow.h"
 
+#include "jackdawwall/balanced-subset.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -110,7 +112,9 @@
     attempt.delegated = delegateAllowance(call.allowance);
     call.context.allowance = attempt.delegated;
     call.tried.push_back(attempt.address);
-    recordAttemptStart(decisions.routing, attempt.address);
+    recordAttemptStart(decisions.routing, attempt.address, now);
+    const bool isLocal = candidates[static_cast<std::size_t>(index)].isLocal;
+    ++(isLocal ? decisions.routing.localStarts : decisions.routing.remoteStarts);
     return attempt;
 }
 
@@ -140,6 +144,21 @@
     return right.outcome >= left.outcome ? right : left;
 }
 
+/// The subset of this node when data centres may differ (Balance::Speed).
+std::vector<Candidate> balancedCandidates(const NodeDecisions& decisions, const std::string& service)
+{
+    const MembershipState& membership = decisions.membership;
+    SubsetOwner owner { membership.self, decisions.dataCentre, decisions.routing.options.subsetSize, {} };
+    for (const auto& [address, record] : membership.members) {
+        if (record.member.status <= MemberStatus::Suspect)
+            ++owner.callers[record.member.dataCentre];
+    }
+    std::vector<SubsetMember> members;
+    for (const Member& member : routableMembers(membership, service))
+        members.push_back({ member.peerAddress, member.dataCentre });
+    return chooseBalancedSubset(members, owner);
+}
+
 } // namespace
 
 NodeDecisions makeNodeDecisions(const Member& self, std::uint64_t seed, absl::Time now)
@@ -169,6 +188,8 @@
     const auto found = decisions.subsets.find(service);
     if (found != decisions.subsets.end())
         return found->second;
+    if (decisions.routing.options.balance == Balance::Speed)
+        return decisions.subsets[service] = balancedCandidates(decisions, service);
     std::vector<Candidate> all;
     for (const Member& member : routableMembers(decisions.membership, service))
         all.push_back({ member.peerAddress, member.dataCentre == decisions.dataCentre });
@@ -255,7 +276,7 @@
 void recordCancelledAttempt(NodeDecisions& decisions, const CallAttempt& attempt, absl::Time now)
 {
     // The elapsed time is a lower bound of the latency.
-    recordAttemptEnd(decisions.routing, attempt.address, { true, false, now - attempt.at, 0 }, now);
+    recordAttemptEnd(decisions.routing, attempt.address, { true, false, now - attempt.at, 0, {} }, now);
 }
 
 void recordReport(NodeDecisions& decisions, OutboundCall& call, const CallAttempt& attempt,
@@ -265,7 +286,7 @@
         && (!call.isRouted || report.result.outcome != Outcome::Unknown);
     const std::uint32_t waiting = report.feedback ? report.feedback->waiting : 0;
     const AttemptObservation observation { hasRun, isTargetAtFault(call, report.result), now - attempt.at,
-        waiting };
+        waiting, report.feedback ? report.feedback->load : std::nullopt };
     recordAttemptEnd(decisions.routing, attempt.address, observation, now);
     call.arrivals += report.hasArrived ? 1 : 0;
     call.hasLastAttemptArrived = report.hasArrived;
@@ -361,6 +382,21 @@
     return feedback;
 }
 
+std::optional<GateLoad> gateLoad(const NodeDecisions& decisions)
+{
+    if (decisions.routing.options.balance != Balance::Speed)
+        return std::nullopt;
+    constexpr double kMaxMicroseconds = 4e9;
+    const AdmissionState& admission = decisions.admission;
+    GateLoad load;
+    load.running = static_cast<std::uint32_t>(inFlight(admission));
+    load.limit = static_cast<std::uint32_t>(steadyLimit(admission.limit));
+    load.waiting = static_cast<std::uint32_t>(admission.waiting.size());
+    load.meanMicroseconds
+        = static_cast<std::uint32_t>(std::clamp(admission.meanTime * 1e6, 0.0, kMaxMicroseconds));
+    return load;
+}
+
 absl::Duration closeInbound(NodeDecisions& decisions, CallToken token, absl::Time now)
 {
     const auto found = decisions.inbound.find(token);
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -16,6 +16,7 @@
 /// Number of fields in the chain header and in the feedback header.
 constexpr std::size_t kChainFieldCount = 5;
 constexpr std::size_t kFeedbackFieldCount = 4;
+constexpr std::size_t kLoadFieldCount = 4;
 
 /// Parses integers separated by commas; empty for any other text.
 std::vector<std::uint32_t> parseNumbers(absl::string_view text)
@@ -116,6 +117,11 @@
             absl::StrJoin({ feedback.unusedAllowance, feedback.admitFraction, feedback.inFlight,
                               feedback.hasDownstreamFailure ? 1U : 0U },
                 ","));
+    if (feedback.load)
+        setHeader(response, kLoadHeader,
+            absl::StrJoin({ feedback.load->running, feedback.load->limit, feedback.load->waiting,
+                              feedback.load->meanMicroseconds },
+                ","));
     return response;
 }
 
@@ -146,7 +152,11 @@
         decoded.feedback.inFlight = numbers[2];
         decoded.feedback.hasDownstreamFailure = numbers[3] != 0;
     }
-    removeHeaders(result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader });
+    const std::vector<std::uint32_t> load = parseNumbers(headerValue(result.response, kLoadHeader));
+    if (load.size() == kLoadFieldCount)
+        decoded.feedback.load = GateLoad { load[0], load[1], load[2], load[3] };
+    removeHeaders(
+        result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader, kLoadHeader });
     decoded.response = std::move(result.response);
     decoded.reservation = std::move(result.reservation);
     return decoded;
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -57,6 +57,11 @@
         = reader.number("repeatExtra", arrivalBudget.extraRetries, 0, kMaxArrivalBudget);
     arrivalBudget.window = absl::Seconds(reader.number("repeatWindowSeconds", 10, 0.1, 3600));
     settings.arrivalBudget = arrivalBudget;
+    const std::string balance = reader.text("balance", "");
+    if (balance == "speed")
+        settings.routing.balance = Balance::Speed;
+    else if (!balance.empty())
+        reader.addFinding("balance", "must be \"speed\" or omitted");
     reader.reportUnknownKeys();
     return settings;
 }
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -92,9 +92,10 @@
     return options;
 }
 
-RoutingOptions routedRoutingOptions()
+RoutingOptions routedRoutingOptions(Balance balance)
 {
     RoutingOptions options;
+    options.balance = balance;
     options.remoteCost = kRemoteCost;
     options.remoteCostPerMegabyte = kRemoteCostPerMegabyte;
     return options;
--- a/src/relay/routed-interface.h
+++ b/src/relay/routed-interface.h
@@ -15,6 +15,6 @@
 /// Options for admission and routing where routes set a latency objective and traffic between data centres
 /// costs money.
 AdmissionOptions routedAdmissionOptions();
-RoutingOptions routedRoutingOptions();
+RoutingOptions routedRoutingOptions(Balance balance = Balance::Latency);
 
 } // namespace jackdawwall::relay
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -238,6 +238,7 @@
     result.feedback = feedback(*pending);
     const QueueUpdate update = finishCall(decisions_.admission, id, runResult, endRun(*pending), steadyNow());
     result.feedback.waiting = static_cast<std::uint32_t>(waiting());
+    result.feedback.load = gateLoad(decisions_);
     pending->done(std::move(result));
     apply(update);
 }
@@ -255,7 +256,9 @@
             { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
             { "running", running() }, { "waiting", waiting() },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
-    pending->done({ GateStatus::Refused, reason, {}, feedback(*pending) });
+    GateResult result { GateStatus::Refused, reason, {}, feedback(*pending) };
+    result.feedback.load = gateLoad(decisions_);
+    pending->done(std::move(result));
 }
 
 /// Counts the gate's decision on an offered call. The caller's node counts the outcome at the target.
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -14,6 +14,8 @@
 constexpr double kMinimumLatencySeconds = 0.001;
 constexpr std::size_t kMaximumLevels = 16384;
 constexpr double kMegabyte = 1 << 20;
+/// Largest share of a remote target's free slots that one node claims until the next report.
+constexpr double kClaimedShare = 0.25;
 
 struct HashedMember {
     std::uint64_t hash = 0;
@@ -96,6 +98,107 @@
     return { choices[first], choices[(first + offset) % choices.size()] };
 }
 
+/// Chooses by expected completion (Balance::Speed).
+class SpeedChoice {
+public:
+    SpeedChoice(const RoutingState& state, absl::Span<const Candidate> candidates, Generator& generator,
+        absl::Time now)
+        : state_(state)
+        , candidates_(candidates)
+        , generator_(generator)
+        , now_(now)
+        , beliefs_(believedLoads(state, candidates, now))
+    {
+    }
+
+    int pick(const std::vector<int>& choices, std::uint64_t bodyBytes)
+    {
+        std::vector<int> local;
+        std::vector<int> remote;
+        for (const int choice : choices)
+            (candidates_[static_cast<std::size_t>(choice)].isLocal ? local : remote).push_back(choice);
+        if (local.empty())
+            return betterOfTwo(remote);
+        int best = betterOfTwo(local);
+        const double remoteCost = remoteCostSeconds(state_.options, bodyBytes);
+        if (remote.empty() || expectedWaitSeconds(belief(best)) <= remoteCost)
+            return best;
+        // The two were unlucky choices if another local target has a shorter queue.
+        std::erase_if(local, [&](int index) { return expectedWaitSeconds(belief(index)) > remoteCost; });
+        if (!local.empty())
+            return betterOfTwo(local);
+        const int other = pickRemote(remote);
+        const bool isRemoteBetter = other >= 0
+            && (!belief(other).isFresh
+                || expectedCompletionSeconds(belief(other)) + remoteCost
+                    < expectedCompletionSeconds(belief(best)));
+        return isRemoteBetter ? other : best;
+    }
+
+private:
+    const TargetBelief& belief(int index) const { return beliefs_[static_cast<std::size_t>(index)]; }
+
+    /// One of the choices at random, in proportion to the weights.
+    int sample(const std::vector<int>& choices)
+    {
+        double sum = 0;
+        for (const int choice : choices)
+            sum += belief(choice).weight;
+        double left = sum * static_cast<double>(generator_() >> 11U) * 0x1p-53;
+        for (const int choice : choices) {
+            left -= belief(choice).weight;
+            if (left < 0)
+                return choice;
+        }
+        return choices.back();
+    }
+
+    int betterOfTwo(std::vector<int> choices)
+    {
+        const int first = sample(choices);
+        if (choices.size() == 1)
+            return first;
+        std::erase(choices, first);
+        const int second = sample(choices);
+        return expectedCompletionSeconds(belief(first)) <= expectedCompletionSeconds(belief(second)) ? first
+                                                                                                     : second;
+    }
+
+    /// A remote target that is known to have room, else one to be tried; -1 when there is neither.
+    int pickRemote(const std::vector<int>& remote)
+    {
+        std::vector<int> roomy;
+        std::vector<int> untried;
+        for (const int index : remote) {
+            const TargetView* view
+                = findTargetView(state_, candidates_[static_cast<std::size_t>(index)].address);
+            if (belief(index).isFresh && hasUnclaimedRoom(belief(index), *view))
+                roomy.push_back(index);
+            const bool isTrialDue = view == nullptr
+                || (view->inFlight == 0 && now_ - view->load.startedAt >= state_.options.remoteTrialInterval);
+            if (!belief(index).isFresh && isTrialDue)
+                untried.push_back(index);
+        }
+        if (!roomy.empty())
+            return betterOfTwo(std::move(roomy));
+        return untried.empty() ? -1 : untried[generator_() % untried.size()];
+    }
+
+    /// True if the slots reported free are not yet used up by what this node sent since. A node takes only a
+    /// part of them until the next report, because other nodes saw the same report.
+    static bool hasUnclaimedRoom(const TargetBelief& belief, const TargetView& view)
+    {
+        const double free = belief.slots - belief.occupied;
+        return hasRoom(belief) && view.load.startsSinceReport < std::max(1.0, free * kClaimedShare);
+    }
+
+    const RoutingState& state_;
+    absl::Span<const Candidate> candidates_;
+    Generator& generator_;
+    absl::Time now_;
+    std::vector<TargetBelief> beliefs_;
+};
+
 } // namespace
 
 std::vector<Candidate> chooseSubset(
@@ -124,6 +227,8 @@
         return -1;
     if (choices.size() == 1)
         return choices.front();
+    if (state.options.balance == Balance::Speed)
+        return SpeedChoice(state, candidates, generator, now).pick(choices, request.bodyBytes);
     const auto [left, right] = sampleTwo(candidates, choices, generator);
     const double remoteCost = remoteCostSeconds(state.options, request.bodyBytes);
     const auto expectedSeconds = [&](int index) {
@@ -134,9 +239,35 @@
     return leftSeconds <= rightSeconds ? left : right;
 }
 
-void recordAttemptStart(RoutingState& state, const std::string& address)
+std::vector<TargetBelief> believedLoads(
+    const RoutingState& state, absl::Span<const Candidate> candidates, absl::Time now)
 {
-    ++state.targets[address].inFlight;
+    FleetMean mean;
+    int known = 0;
+    for (const Candidate& candidate : candidates) {
+        const TargetView* view = findTargetView(state, candidate.address);
+        if (view == nullptr || view->load.callSeconds == 0)
+            continue;
+        ++known;
+        mean.callSeconds += (view->load.callSeconds - mean.callSeconds) / known;
+        mean.slots += (view->load.last.limit - mean.slots) / known;
+    }
+    std::vector<TargetBelief> beliefs;
+    beliefs.reserve(candidates.size());
+    const TargetView unseen;
+    for (const Candidate& candidate : candidates) {
+        const TargetView* view = findTargetView(state, candidate.address);
+        const TargetView& seen = view == nullptr ? unseen : *view;
+        beliefs.push_back(believe(seen.load, state.options.load, mean, seen.inFlight, seen.latency, now));
+    }
+    return beliefs;
+}
+
+void recordAttemptStart(RoutingState& state, const std::string& address, absl::Time now)
+{
+    TargetView& view = state.targets[address];
+    recordLoadStart(view.load, view.inFlight, now);
+    ++view.inFlight;
 }
 
 void recordAttemptEnd(
@@ -145,6 +276,9 @@
     TargetView& view = state.targets[address];
     view.inFlight = std::max(0, view.inFlight - 1);
     view.waiting = observation.waiting;
+    recordLoadEnd(view.load, now);
+    if (observation.load)
+        recordLoadReport(view.load, state.options.load, *observation.load, view.inFlight, now);
     if (observation.isTargetAtFault)
         view.avoidUntil = now + state.options.failureBackoff;
     if (!observation.hasResponse)
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -88,11 +88,11 @@
     for (const Candidate& candidate : list)
         recordAttemptEnd(state, candidate.address, { true, false, absl::Milliseconds(200), 0 }, kStart);
     for (int call = 0; call < 2; ++call)
-        recordAttemptStart(state, "t0");
+        recordAttemptStart(state, "t0", kStart);
     BOOST_TEST(pickTarget(state, list, { {}, 0 }, generator, kStart) == 1);
     BOOST_TEST(pickTarget(state, list, { {}, 64U << 10 }, generator, kStart) == 0);
     for (int call = 0; call < 8; ++call)
-        recordAttemptStart(state, "t0");
+        recordAttemptStart(state, "t0", kStart);
     BOOST_TEST(pickTarget(state, list, { {}, 64U << 10 }, generator, kStart) == 1);
 }
 
