--- a/src/routing.cc
+++ b/src/routing.cc
@@ -14,6 +14,9 @@
 constexpr double kMinimumLatencySeconds = 0.001;
 constexpr std::size_t kMaximumLevels = 16384;
 constexpr double kMegabyte = 1 << 20;
+/// Remote targets are tried for reports from this share of the remote cost on, so that free slots are known
+/// when the wait reaches the cost.
+constexpr double kScoutShare = 0.5;
 /// Largest share of a remote target's free slots that one node claims until the next report.
 constexpr double kClaimedShare = 0.25;
 
@@ -121,15 +124,19 @@
             return betterOfTwo(remote);
         int best = betterOfTwo(local);
         const double remoteCost = remoteCostSeconds(state_.options, bodyBytes);
-        if (remote.empty() || expectedWaitSeconds(belief(best)) <= remoteCost)
+        if (remote.empty() || expectedWaitSeconds(belief(best)) <= remoteCost * kScoutShare)
             return best;
         // The two were unlucky choices if another local target has a shorter queue.
-        std::erase_if(local, [&](int index) { return expectedWaitSeconds(belief(index)) > remoteCost; });
+        std::erase_if(
+            local, [&](int index) { return expectedWaitSeconds(belief(index)) > remoteCost * kScoutShare; });
         if (!local.empty())
             return betterOfTwo(local);
         const int other = pickRemote(remote);
+        const bool isTrial = other >= 0 && !belief(other).isFresh;
+        if (!isTrial && expectedWaitSeconds(belief(best)) <= remoteCost)
+            return best;
         const bool isRemoteBetter = other >= 0
-            && (!belief(other).isFresh
+            && (isTrial
                 || expectedCompletionSeconds(belief(other)) + remoteCost
                     < expectedCompletionSeconds(belief(best)));
         return isRemoteBetter ? other : best;
