--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -208,8 +208,9 @@
 /// the feedback and can no longer be used by this node.
 CallFeedback feedbackFor(NodeDecisions& decisions, const CallContext& context, CallToken token);
 
-/// Load of the local target's gate, as reported with responses; empty unless Balance::Speed is set.
-std::optional<GateLoad> gateLoad(const NodeDecisions& decisions);
+/// Load of the local target's gate, as reported with the response to a call that the gate held for `held`;
+/// empty unless Balance::Speed is set.
+std::optional<GateLoad> gateLoad(const NodeDecisions& decisions, absl::Duration held);
 
 /// Ends an inbound call whose response was forwarded or lost. Returns the time that the target spent waiting
 /// for other services.
--- a/include/jackdawwall/target-load.h
+++ b/include/jackdawwall/target-load.h
@@ -14,6 +14,9 @@
     std::uint32_t limit = 0; ///< Calls that may be in the target.
     std::uint32_t waiting = 0; ///< Calls queued at the gate.
     std::uint32_t meanMicroseconds = 0; ///< Mean time of recent calls in the target; 0 without samples.
+    /// Time from the arrival of the call at the gate to this report. The rest of the caller's latency is the
+    /// age of the report, so no clocks have to agree.
+    std::uint32_t heldMicroseconds = 0;
 };
 
 struct LoadOptions {
@@ -34,7 +37,8 @@
 /// Observations of one target's load by this node.
 struct TargetLoad {
     GateLoad last;
-    absl::Time reportedAt = absl::InfinitePast();
+    absl::Time reportedAt
+        = absl::InfinitePast(); ///< When the last report left the target's node, at the earliest.
     double callSeconds = 0; ///< Smoothed time of a call in the target; 0 before the first report.
     double others = 0; ///< Calls of other nodes at the target at the last report.
     double othersMean = 0; ///< The same, smoothed.
@@ -49,6 +53,7 @@
     double callSeconds = 0; ///< Time of a call in the target, without queueing.
     double slots = 0;
     double occupied = 0; ///< Calls at the target, running or queued.
+    double deviation = 0; ///< Standard deviation of `occupied`; grows with the age of the report.
     double weight = 0; ///< Relative share of the work, from slots and speed.
     bool isFresh = false; ///< The last report is recent enough to be trusted about free slots.
 };
@@ -65,9 +70,10 @@
 /// Records that a call from here ended, with or without a response.
 void recordLoadEnd(TargetLoad& load, absl::Time now);
 
-/// Records a report; `inFlight` is the number of calls from here that remain.
-void recordLoadReport(
-    TargetLoad& load, const LoadOptions& options, const GateLoad& report, int inFlight, absl::Time now);
+/// Records a report; `inFlight` is the number of calls from here that remain, `latency` the time from sending
+/// the call to receiving the report.
+void recordLoadReport(TargetLoad& load, const LoadOptions& options, const GateLoad& report, int inFlight,
+    absl::Duration latency, absl::Time now);
 
 /// True if the last report is trusted about free slots.
 bool isReportFresh(const TargetLoad& load, const LoadOptions& options, absl::Time now);
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -382,18 +382,21 @@
     return feedback;
 }
 
-std::optional<GateLoad> gateLoad(const NodeDecisions& decisions)
+std::optional<GateLoad> gateLoad(const NodeDecisions& decisions, absl::Duration held)
 {
     if (decisions.routing.options.balance != Balance::Speed)
         return std::nullopt;
-    constexpr double kMaxMicroseconds = 4e9;
+    const auto microseconds = [](double seconds) {
+        constexpr double kMaxMicroseconds = 4e9;
+        return static_cast<std::uint32_t>(std::clamp(seconds * 1e6, 0.0, kMaxMicroseconds));
+    };
     const AdmissionState& admission = decisions.admission;
     GateLoad load;
     load.running = static_cast<std::uint32_t>(inFlight(admission));
     load.limit = static_cast<std::uint32_t>(steadyLimit(admission.limit));
     load.waiting = static_cast<std::uint32_t>(admission.waiting.size());
-    load.meanMicroseconds
-        = static_cast<std::uint32_t>(std::clamp(admission.meanTime * 1e6, 0.0, kMaxMicroseconds));
+    load.meanMicroseconds = microseconds(admission.meanTime);
+    load.heldMicroseconds = microseconds(absl::ToDoubleSeconds(held));
     return load;
 }
 
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -16,7 +16,7 @@
 /// Number of fields in the chain header and in the feedback header.
 constexpr std::size_t kChainFieldCount = 5;
 constexpr std::size_t kFeedbackFieldCount = 4;
-constexpr std::size_t kLoadFieldCount = 4;
+constexpr std::size_t kLoadFieldCount = 5;
 
 /// Parses integers separated by commas; empty for any other text.
 std::vector<std::uint32_t> parseNumbers(absl::string_view text)
@@ -120,7 +120,7 @@
     if (feedback.load)
         setHeader(response, kLoadHeader,
             absl::StrJoin({ feedback.load->running, feedback.load->limit, feedback.load->waiting,
-                              feedback.load->meanMicroseconds },
+                              feedback.load->meanMicroseconds, feedback.load->heldMicroseconds },
                 ","));
     return response;
 }
@@ -154,7 +154,7 @@
     }
     const std::vector<std::uint32_t> load = parseNumbers(headerValue(result.response, kLoadHeader));
     if (load.size() == kLoadFieldCount)
-        decoded.feedback.load = GateLoad { load[0], load[1], load[2], load[3] };
+        decoded.feedback.load = GateLoad { load[0], load[1], load[2], load[3], load[4] };
     removeHeaders(
         result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader, kLoadHeader });
     decoded.response = std::move(result.response);
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -39,7 +39,8 @@
 inline constexpr char kReasonHeader[] = "Jackdaw-Hop-Reason";
 inline constexpr char kWaitingHeader[] = "Jackdaw-Hop-Waiting"; ///< Number of calls queued at the node.
 inline constexpr char kFeedbackHeader[] = "Jackdaw-Hop-Feedback"; ///< Fields passed back up the call chain.
-/// Running calls, limit, queued calls and mean call time (us) of the gate; only with the setting `balance`.
+/// Running calls, limit, queued calls, mean call time (us) of the gate and the time (us) that it held the
+/// call; only with the setting `balance`.
 inline constexpr char kLoadHeader[] = "Jackdaw-Hop-Load";
 inline constexpr char kMembershipUpdateHeader[] = "Jackdaw-Hop-News"; ///< Marks a membership message.
 
--- a/src/relay/operator-port.cc
+++ b/src/relay/operator-port.cc
@@ -74,6 +74,58 @@
     return canonicalJson(list) + "\n";
 }
 
+/// What this node assumes of each target that it may send calls to.
+std::string encodeWeights(const RelayState& state)
+{
+    const RoutingState& routing = state.decisions.routing;
+    const absl::Time now = steadyNow();
+    Json::Value services(Json::objectValue);
+    for (const auto& [service, candidates] : state.decisions.subsets) {
+        const std::vector<TargetBelief> beliefs = believedLoads(routing, candidates, now);
+        Json::Value list(Json::arrayValue);
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            const TargetBelief& belief = beliefs[index];
+            const auto view = routing.targets.find(candidates[index].address);
+            Json::Value value(Json::objectValue);
+            value["address"] = candidates[index].address;
+            value["local"] = candidates[index].isLocal;
+            value["weight"] = belief.weight;
+            value["callMilliseconds"] = belief.callSeconds * 1000;
+            value["slots"] = belief.slots;
+            value["freeSlots"] = belief.slots - belief.occupied;
+            value["trusted"] = belief.isFresh;
+            value["inFlight"] = view == routing.targets.end() ? 0 : view->second.inFlight;
+            if (view != routing.targets.end() && view->second.load.reports > 0)
+                value["ageMs"] = Json::Int64(absl::ToInt64Milliseconds(now - view->second.load.reportedAt));
+            list.append(value);
+        }
+        services[service] = list;
+    }
+    return canonicalJson(services) + "\n";
+}
+
+/// Gauges of the choice of targets; their number does not depend on the number of targets.
+std::string encodeBalanceMetrics(const RoutingState& routing)
+{
+    if (routing.options.balance != Balance::Speed)
+        return "";
+    const absl::Time now = steadyNow();
+    std::size_t fresh = 0;
+    for (const auto& [address, view] : routing.targets)
+        fresh += isReportFresh(view.load, routing.options.load, now) ? 1 : 0;
+    const auto gauge = [](absl::string_view name, absl::string_view help, auto value) {
+        return absl::StrCat(
+            "# HELP ", name, " ", help, "\n# TYPE ", name, " gauge\n", name, " ", value, "\n");
+    };
+    return absl::StrCat(gauge("jackdaw_balance_targets", "Targets of which this node has observations.",
+                            routing.targets.size()),
+        gauge("jackdaw_balance_fresh_reports", "Targets whose last load report is trusted.", fresh),
+        gauge("jackdaw_balance_local_attempts", "Attempts to targets in the own data centre since the start.",
+            routing.localStarts),
+        gauge("jackdaw_balance_remote_attempts", "Attempts to targets in other data centres since the start.",
+            routing.remoteStarts));
+}
+
 std::string encodeMetrics(const RelayState& state, std::size_t callerConnections)
 {
     const auto gauge = [](absl::string_view name, absl::string_view help, auto value) {
@@ -100,7 +152,8 @@
                 state.bufferedResponses.reserved()),
             gauge("jackdaw_connections_opened", "Connections opened since the start.",
                 state.pool.connectionsOpened()),
-            gauge("jackdaw_dropped_log_events", "Log events dropped.", droppedLogEvents())));
+            gauge("jackdaw_dropped_log_events", "Log events dropped.", droppedLogEvents()))
+        + encodeBalanceMetrics(decisions.routing));
 }
 
 } // namespace
@@ -112,11 +165,14 @@
         return makeJsonResponse(http::status::ok, encodeStatus(state));
     if (path == "/members")
         return makeJsonResponse(http::status::ok, encodeMembers(state));
+    if (path == "/weights")
+        return makeJsonResponse(http::status::ok, encodeWeights(state));
     if (path == "/metrics")
         return makeTextResponse(http::status::ok, encodeMetrics(state, callerConnections));
     if (path == "/events")
         return makeTextResponse(http::status::ok, recentLogEvents());
-    return makeTextResponse(http::status::not_found, "try /status, /members, /metrics or /events\n");
+    return makeTextResponse(
+        http::status::not_found, "try /status, /members, /weights, /metrics or /events\n");
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/operator-port.h
+++ b/src/relay/operator-port.h
@@ -5,7 +5,7 @@
 
 namespace jackdawwall::relay {
 
-/// Responds to GET /status, /members, /metrics and /events.
+/// Responds to GET /status, /members, /weights, /metrics and /events.
 Response respondToOperator(const RelayState& state, std::size_t callerConnections, const Request& request);
 
 } // namespace jackdawwall::relay
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -238,7 +238,7 @@
     result.feedback = feedback(*pending);
     const QueueUpdate update = finishCall(decisions_.admission, id, runResult, endRun(*pending), steadyNow());
     result.feedback.waiting = static_cast<std::uint32_t>(waiting());
-    result.feedback.load = gateLoad(decisions_);
+    result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
     pending->done(std::move(result));
     apply(update);
 }
@@ -257,7 +257,7 @@
             { "running", running() }, { "waiting", waiting() },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
     GateResult result { GateStatus::Refused, reason, {}, feedback(*pending) };
-    result.feedback.load = gateLoad(decisions_);
+    result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
     pending->done(std::move(result));
 }
 
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -285,7 +285,8 @@
     view.waiting = observation.waiting;
     recordLoadEnd(view.load, now);
     if (observation.load)
-        recordLoadReport(view.load, state.options.load, *observation.load, view.inFlight, now);
+        recordLoadReport(
+            view.load, state.options.load, *observation.load, view.inFlight, observation.latency, now);
     if (observation.isTargetAtFault)
         view.avoidUntil = now + state.options.failureBackoff;
     if (!observation.hasResponse)
--- a/src/target-load.cc
+++ b/src/target-load.cc
@@ -15,6 +15,8 @@
 constexpr double kPressureStart = 0.85;
 constexpr double kPressureRange = 0.1;
 constexpr double kPressure = 0.3;
+constexpr double kInverseSqrtTwoPi = 0.3989422804014327;
+constexpr double kInverseSqrtTwo = 0.7071067811865476;
 
 double halved(absl::Duration age, absl::Duration halfLife)
 {
@@ -26,6 +28,12 @@
     return load.reports > 0 && load.callSeconds > 0 && load.last.limit > 0;
 }
 
+/// Upper bound of the age of a report on arrival.
+absl::Duration reportAge(const GateLoad& report, absl::Duration latency)
+{
+    return std::max(absl::ZeroDuration(), latency - absl::Microseconds(report.heldMicroseconds));
+}
+
 double othersNow(const TargetLoad& load, const LoadOptions& options, absl::Time now)
 {
     const absl::Duration age = now - load.reportedAt;
@@ -49,8 +57,8 @@
     load.quietSince = now;
 }
 
-void recordLoadReport(
-    TargetLoad& load, const LoadOptions& options, const GateLoad& report, int inFlight, absl::Time now)
+void recordLoadReport(TargetLoad& load, const LoadOptions& options, const GateLoad& report, int inFlight,
+    absl::Duration latency, absl::Time now)
 {
     const bool wasFresh = isReportFresh(load, options, now);
     const absl::Duration age = now - load.reportedAt;
@@ -68,7 +76,7 @@
             : load.callSeconds + weight * (seconds - load.callSeconds);
     }
     load.last = report;
-    load.reportedAt = now;
+    load.reportedAt = std::max(load.reportedAt, now - reportAge(report, latency));
     load.startsSinceReport = 0;
 }
 
@@ -88,6 +96,8 @@
         belief.callSeconds = meanSeconds + (load.callSeconds - meanSeconds) * trust;
         belief.slots = load.last.limit;
         belief.occupied = inFlight + othersNow(load, options, now);
+        const double trustInLoad = halved(now - load.reportedAt, options.loadHalfLife);
+        belief.deviation = std::sqrt((belief.occupied - inFlight) * (1 - trustInLoad * trustInLoad));
         belief.isFresh = isReportFresh(load, options, now);
         share = std::clamp(
             static_cast<double>(load.reports) / options.warmReports, options.newTargetShare, 1.0);
@@ -109,7 +119,15 @@
 
 double expectedWaitSeconds(const TargetBelief& belief)
 {
-    return belief.callSeconds * std::max(0.0, belief.occupied + 1 - belief.slots) / belief.slots;
+    const double ahead = belief.occupied + 1 - belief.slots;
+    double expectedAhead = std::max(0.0, ahead);
+    if (belief.deviation > 0) { // Mean of the positive part of a normal variable.
+        const double relative = ahead / belief.deviation;
+        const double density = std::exp(-relative * relative / 2) * kInverseSqrtTwoPi;
+        const double probability = std::erfc(-relative * kInverseSqrtTwo) / 2;
+        expectedAhead = belief.deviation * density + ahead * probability;
+    }
+    return belief.callSeconds * expectedAhead / belief.slots;
 }
 
 double expectedCompletionSeconds(const TargetBelief& belief)
