--- a/test/balance-test.cc
+++ b/test/balance-test.cc
@@ -3,15 +3,20 @@
 #include "jackdawwall/balanced-subset.h"
 #include "jackdawwall/routing.h"
 #include "relay/hop-wire.h"
+#include "relay/relay-settings.h"
 
 #include "absl/strings/str_cat.h"
 #include "test/balance-bounds.h"
 #include "test/table.h"
 
+#include <cstdio>
 #include <deque>
+#include <fstream>
 #include <iostream>
 #include <set>
 
+#include <unistd.h>
+
 namespace jackdawwall {
 namespace {
 
@@ -32,6 +37,7 @@
     Generator generator(7);
     Generator trace(11);
     std::vector<Candidate> list;
+    list.reserve(16);
     for (int index = 0; index < 16; ++index)
         list.push_back({ absl::StrCat("10.0.0.", index, ":1"), index < 6 });
     std::uint64_t digest = 0;
@@ -56,6 +62,22 @@
     BOOST_TEST(digest == kDigestBefore);
 }
 
+// Guards against a misspelt value that leaves the setting off without a word.
+BOOST_AUTO_TEST_CASE(otherValuesOfTheSettingAreReported)
+{
+    for (const std::string value : { "", "speed", "fast" }) {
+        const std::string file = absl::StrCat("balance-settings-", getpid(), ".json");
+        std::ofstream(file) << absl::StrCat(R"({"service":"s","dataCentre":"d",)",
+            value.empty() ? "" : absl::StrCat(R"("balance":")", value, R"(",)"),
+            R"("targetAddress":"127.0.0.1:1","platformAddress":"127.0.0.1:2"})");
+        std::vector<Finding> findings;
+        const relay::RelaySettings settings = relay::readRelaySettings(file, findings);
+        std::remove(file.c_str());
+        BOOST_TEST(findings.size() == (value == "fast" ? 1U : 0U));
+        BOOST_TEST((settings.routing.balance == (value == "speed" ? Balance::Speed : Balance::Latency)));
+    }
+}
+
 // Guards against a header that nodes of the same fleet do not expect, and against forwarding it to callers.
 BOOST_AUTO_TEST_CASE(theLoadIsSentOnlyWhenItIsKnownAndIsNotForwarded)
 {
