--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -242,6 +242,7 @@
     result.feedback = feedback(*pending);
     const QueueUpdate update = finishCall(decisions_.admission, id, runResult, endRun(*pending), steadyNow());
     result.feedback.waiting = static_cast<std::uint32_t>(waiting());
+    result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
     pending->done(std::move(result));
     apply(update);
 }
@@ -263,7 +264,9 @@
                 absl::ToInt64Milliseconds(waitingWork(decisions_.admission, pending->call.context.priority,
                     fairnessKey(pending->call.context))) },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
-    pending->done({ GateStatus::Refused, reason, {}, feedback(*pending) });
+    GateResult result { GateStatus::Refused, reason, {}, feedback(*pending) };
+    result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
+    pending->done(std::move(result));
 }
 
 /// Counts the gate's decision on an offered call. The caller's node counts the outcome at the target.
