--- a/include/jackdawwall/coordinator-choice.h
+++ b/include/jackdawwall/coordinator-choice.h
@@ -36,8 +36,8 @@
 LeaseTarget chooseLeaseTarget(
     const CoordinatorChoice& choice, const SkippedCoordinators& skipped, absl::Time now);
 
-/// True if no neighbour has responded for so long that other nodes have probably taken over. A node that
-/// knows no other member is not cut off.
+/// True if no neighbour has responded for so long that other nodes have probably taken over. A node without
+/// other alive or suspect members is not cut off; see reachableShare.
 bool isCutOff(const MembershipState& state, absl::Time now);
 
 /// What this node may do as coordinator of a customer. `isAskedAsDeputy`: the requesting node could not reach
--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -101,6 +101,12 @@
     ++rejectedRequests_[absl::StrCat("status=\"", status, "\"")];
 }
 
+void Metrics::countLimitEvent(absl::string_view event, std::uint64_t count)
+{
+    const absl::MutexLock lock(&mutex_);
+    limitEvents_[absl::StrCat("event=\"", event, "\"")] += count;
+}
+
 std::string Metrics::expose(const std::string& gauges) const
 {
     const absl::MutexLock lock(&mutex_);
@@ -116,6 +122,9 @@
         text, "jackdaw_store_calls_total", "Calls to the platform's store, by how they ended.", storeCalls_);
     appendLabelled(text, "jackdaw_rejected_requests_total",
         "Requests answered with an error before they were routed, by status.", rejectedRequests_);
+    if (!limitEvents_.empty())
+        appendLabelled(text, "jackdaw_limit_events_total", "Events of customers' rate limits over all nodes.",
+            limitEvents_);
     return text + gauges;
 }
 
--- a/src/adapter/metrics.h
+++ b/src/adapter/metrics.h
@@ -50,6 +50,8 @@
     void countStoreCall(absl::string_view call, absl::string_view result);
     /// Counts a request that was answered with an error before it was routed.
     void countRejectedRequest(unsigned status);
+    /// Counts events of customers' rate limits over all nodes, such as "lease-request".
+    void countLimitEvent(absl::string_view event, std::uint64_t count);
 
     /// Returns the text exposition; `gauges` is appended unchanged.
     std::string expose(const std::string& gauges) const;
@@ -64,6 +66,7 @@
     std::uint64_t controlBytes_ ABSL_GUARDED_BY(mutex_) = 0;
     absl::btree_map<std::string, std::uint64_t> storeCalls_ ABSL_GUARDED_BY(mutex_); ///< By label text.
     absl::btree_map<std::string, std::uint64_t> rejectedRequests_ ABSL_GUARDED_BY(mutex_); ///< By label text.
+    absl::btree_map<std::string, std::uint64_t> limitEvents_ ABSL_GUARDED_BY(mutex_); ///< By label text.
 };
 
 } // namespace jackdawwall
--- a/src/coordinator-choice.cc
+++ b/src/coordinator-choice.cc
@@ -121,7 +121,12 @@
 
 bool isCutOff(const MembershipState& state, absl::Time now)
 {
-    return state.members.size() > 1 && now - state.lastContactAt > kContactTimeout;
+    if (now - state.lastContactAt <= kContactTimeout)
+        return false;
+    return std::any_of(state.members.begin(), state.members.end(), [&](const auto& item) {
+        const MemberStatus status = item.second.member.status;
+        return item.first != state.self && (status == MemberStatus::Alive || status == MemberStatus::Suspect);
+    });
 }
 
 CoordinatorStanding standingFor(
--- a/src/main/ctl-fleet.cc
+++ b/src/main/ctl-fleet.cc
@@ -71,6 +71,27 @@
               << " alive=" << status["members"]["alive"].asInt() << "\n";
 }
 
+void printLimits(const std::string& address, const Json::Value& limits)
+{
+    const std::string prefix
+        = absl::StrCat("operator=", address, " cut-off=", limits["cutOff"].asBool() ? "yes" : "no");
+    for (const Json::Value& customer : limits["customers"]) {
+        std::cout << prefix << " customer=" << customer["name"].asString()
+                  << " limit=" << customer["limitPerSecond"].asDouble()
+                  << " burst=" << customer["burst"].asDouble() << " held=" << customer["held"].asUInt64()
+                  << " demand=" << customer["demandPerSecond"].asDouble()
+                  << " taken=" << customer["taken"].asUInt64()
+                  << " refused=" << customer["refused"].asUInt64()
+                  << " coordinator=" << customer["coordinator"].asString() << "\n";
+    }
+    for (const Json::Value& bucket : limits["coordinated"]) {
+        std::cout << prefix << " coordinates=" << bucket["name"].asString()
+                  << " role=" << bucket["role"].asString() << " level=" << bucket["level"].asDouble()
+                  << " leased=" << bucket["leased"].asDouble() << " holders=" << bucket["holders"].asUInt64()
+                  << "\n";
+    }
+}
+
 bool matches(const std::string& line, const std::vector<std::string>& filters)
 {
     for (const std::string& filter : filters) {
@@ -136,6 +157,22 @@
     return list.empty() ? kExitFailed : kExitOk;
 }
 
+int showLimits(CtlContext& context)
+{
+    Json::Value all(Json::objectValue);
+    for (const std::string& address : findOperatorAddresses(context)) {
+        const absl::StatusOr<std::string> response = fetchFromNode(context, address, "/limits");
+        if (!response.ok())
+            continue;
+        all[address] = parseResponse(*response);
+        if (!context.options.isJson)
+            printLimits(address, all[address]);
+    }
+    if (context.options.isJson)
+        std::cout << canonicalJson(all) << "\n";
+    return all.empty() ? kExitFailed : kExitOk;
+}
+
 int showTimeline(CtlContext& context)
 {
     std::vector<TimelineEvent> events;
--- a/src/main/ctl.cc
+++ b/src/main/ctl.cc
@@ -19,15 +19,15 @@
 /// Timeout of one call to the platform; an operator is waiting for it.
 constexpr absl::Duration kPlatformTimeout = absl::Seconds(5);
 
-constexpr std::array<Command, 6> kCommands { { { "validate", &validateCatalogue }, { "diff", &diffCatalogue },
+constexpr std::array<Command, 7> kCommands { { { "validate", &validateCatalogue }, { "diff", &diffCatalogue },
     { "apply", &applyCatalogue }, { "get", &getCatalogue }, { "status", &showStatus },
-    { "timeline", &showTimeline } } };
+    { "timeline", &showTimeline }, { "limits", &showLimits } } };
 
 CtlOptions readOptions(int argc, char** argv)
 {
     TCLAP::CmdLine line(
         "Manages a jackdawwall fleet. Commands: validate FILE, diff FILE, apply FILE, get, status, "
-        "timeline. Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict.",
+        "timeline, limits. Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict.",
         ' ', kProgramVersion);
     TCLAP::MultiArg<std::string> platform("p", "platform", "Address of the platform", false, "IP:PORT", line);
     TCLAP::MultiArg<std::string> nodes("n", "node", "Operator address of a node", false, "IP:PORT", line);
--- a/src/main/ctl.h
+++ b/src/main/ctl.h
@@ -42,6 +42,7 @@
 int getCatalogue(CtlContext& context);
 int showStatus(CtlContext& context);
 int showTimeline(CtlContext& context);
+int showLimits(CtlContext& context);
 
 /// Operator addresses of the reachable nodes and of the members that they report as not dead. Starts from the
 /// addresses on the command line and the seed records of the platform.
--- a/src/relay/call-interface.h
+++ b/src/relay/call-interface.h
@@ -21,6 +21,7 @@
     Outcome outcome = Outcome::NotRun;
     Reason reason = Reason::None;
     std::string detail; ///< Human-readable; may be empty.
+    absl::Duration retryAfter {}; ///< When the call may be admitted; 0 if it is not known.
 };
 
 /// The call that a request resolves to, or the response that refuses it.
--- a/src/relay/caller-call.cc
+++ b/src/relay/caller-call.cc
@@ -84,6 +84,34 @@
         if (!error)
             self->onDeadline();
     });
+    if (state_.leases != nullptr && !call_.isNested && state_.leases->isLimited(call_.context.customer))
+        acquireToken();
+    else
+        begin();
+}
+
+void CallerCall::acquireToken()
+{
+    tokenWait_ = state_.leases->acquire(call_.context.customer, call_.context.requestId,
+        [self = shared_from_this()](const TokenDecision& decision) { self->onToken(decision); });
+}
+
+void CallerCall::onToken(const TokenDecision& decision)
+{
+    tokenWait_ = 0;
+    if (decision.result == AcquireResult::Taken) {
+        tokenPeriod_ = decision.period;
+        begin();
+    } else if (decision.result == AcquireResult::OverLimit) {
+        fail({ Outcome::NotRun, Reason::CallerLimit, true }, "over the rate limit", decision.retryAfter);
+    } else {
+        fail({ Outcome::NotRun, Reason::Unreachable, true }, "the rate limit is not known",
+            decision.retryAfter);
+    }
+}
+
+void CallerCall::begin()
+{
     if (interface_.claim && !call_.context.isIdempotent)
         claim();
     else
@@ -222,12 +250,12 @@
     incoming_->respond(std::move(result.response), std::move(result.reservation));
 }
 
-void CallerCall::fail(const AttemptResult& end, const std::string& detail)
+void CallerCall::fail(const AttemptResult& end, const std::string& detail, absl::Duration retryAfter)
 {
     if (end.outcome == Outcome::NotRun && releaseClaim_)
         releaseClaim_();
     Response response = interface_.makeFailureResponse(
-        { end.outcome, end.reason, detail }, call_.callerDeadline - steadyNow());
+        { end.outcome, end.reason, detail, retryAfter }, call_.callerDeadline - steadyNow());
     close(end, response.result_int());
     incoming_->respond(std::move(response));
 }
@@ -238,6 +266,11 @@
     isDone_ = true;
     timer_.cancel();
     hedgeTimer_.cancel();
+    if (tokenWait_ != 0)
+        state_.leases->cancel(call_.context.customer, std::exchange(tokenWait_, 0));
+    if (tokenPeriod_ && end.outcome == Outcome::NotRun)
+        state_.leases->giveBack(call_.context.customer, *tokenPeriod_);
+    tokenPeriod_.reset();
     closeCall(state_.decisions, call_, end, now);
     const CallContext& context = call_.context;
     state_.metrics.countCall({ context.priority, end.outcome, end.reason }, now - call_.start);
--- a/src/relay/caller-call.h
+++ b/src/relay/caller-call.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "relay/call-interface.h"
+#include "relay/lease-link.h"
 #include "relay/relay-state.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace jackdawwall::relay {
@@ -29,6 +31,10 @@
     };
     using PendingAttemptPtr = std::shared_ptr<PendingAttempt>;
 
+    void acquireToken();
+    void onToken(const TokenDecision& decision);
+    /// Starts the call once its customer's rate limit permits it.
+    void begin();
     void claim();
     void sendNext();
     void send(const CallAttempt& attempt);
@@ -37,7 +43,7 @@
     GateCall makeGateCall() const;
     void onResult(const PendingAttemptPtr& pending, GateResult result);
     void complete(GateResult result, const AttemptResult& end);
-    void fail(const AttemptResult& end, const std::string& detail = "");
+    void fail(const AttemptResult& end, const std::string& detail = "", absl::Duration retryAfter = {});
     void close(const AttemptResult& end, unsigned status);
     void abandon();
     void abortAttempts();
@@ -52,6 +58,8 @@
     asio::steady_timer hedgeTimer_;
     std::vector<PendingAttemptPtr> pendingAttempts_;
     std::function<void()> releaseClaim_;
+    std::uint64_t tokenWait_ = 0; ///< Id of the wait for a token; 0: none.
+    std::optional<std::uint64_t> tokenPeriod_; ///< Set while the call has a token.
     bool isDone_ = false;
 };
 
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -40,5 +40,6 @@
 inline constexpr char kWaitingHeader[] = "Jackdaw-Hop-Waiting"; ///< Number of calls queued at the node.
 inline constexpr char kFeedbackHeader[] = "Jackdaw-Hop-Feedback"; ///< Fields passed back up the call chain.
 inline constexpr char kMembershipUpdateHeader[] = "Jackdaw-Hop-News"; ///< Marks a membership message.
+inline constexpr char kLeaseHeader[] = "Jackdaw-Hop-Lease"; ///< Marks lease requests of a node.
 
 } // namespace jackdawwall::relay
--- a/src/relay/operator-port.cc
+++ b/src/relay/operator-port.cc
@@ -2,6 +2,7 @@
 
 #include "adapter/json-reader.h"
 #include "adapter/log.h"
+#include "relay/lease-link.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -112,11 +113,13 @@
         return makeJsonResponse(http::status::ok, encodeStatus(state));
     if (path == "/members")
         return makeJsonResponse(http::status::ok, encodeMembers(state));
+    if (path == "/limits")
+        return makeJsonResponse(http::status::ok, state.leases->describe());
     if (path == "/metrics")
         return makeTextResponse(http::status::ok, encodeMetrics(state, callerConnections));
     if (path == "/events")
         return makeTextResponse(http::status::ok, recentLogEvents());
-    return makeTextResponse(http::status::not_found, "try /status, /members, /metrics or /events\n");
+    return makeTextResponse(http::status::not_found, "try /status, /members, /limits, /metrics or /events\n");
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -76,6 +76,7 @@
     : loop_(loop)
     , state_(loop, std::move(ports.settings))
     , port_(std::move(port))
+    , leaseLink_(state_)
     , callerGate_(state_, std::move(interface))
     , peerLink_(state_,
           { [this](const std::string& document, const std::string& sender) {
@@ -103,6 +104,7 @@
                   listener.emplace(loop, *std::move(acceptor), std::move(handler), &state_.bufferedBodies)
                       .setLimits(limits);
           };
+    state_.leases = &leaseLink_;
     callerListener_.onRejected = [this](const RejectedRequest& rejected) { recordRejectedRequest(rejected); };
     openListener(readyListener_, ports.ready, reportPortLimits(),
         [this](const IncomingRequestPtr& incoming) { onReadyRequest(incoming); });
@@ -166,6 +168,7 @@
 void RelayNode::tick()
 {
     state_.gate.tick(steadyNow());
+    leaseLink_.tick();
     state_.requestLog.tick(steadyNow());
     if (state_.isStopping)
         checkStopProgress();
@@ -201,6 +204,10 @@
         peerLink_.accept(incoming);
         return;
     }
+    if (!headerValue(incoming->request, kLeaseHeader).empty()) {
+        leaseLink_.accept(incoming);
+        return;
+    }
     auto hop = decodeCall(std::move(incoming->request), state_.settings.names, steadyNow());
     incoming->request = {};
     incoming->request.version(11);
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -3,6 +3,7 @@
 
 #include "jackdawwall/watcher-selection.h"
 #include "relay/caller-gate.h"
+#include "relay/lease-link.h"
 #include "relay/peer-link.h"
 #include "relay/platform-port.h"
 #include "relay/store-sync.h"
@@ -76,6 +77,7 @@
     asio::io_context& loop_;
     RelayState state_;
     PlatformPort port_;
+    LeaseLink leaseLink_;
     CallerGate callerGate_;
     PeerLink peerLink_;
     StoreSync storeSync_;
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -17,6 +17,8 @@
 
 namespace jackdawwall::relay {
 
+class LeaseLink;
+
 /// The applied configuration and the document that is sent to other nodes. An interface uses either `table`
 /// or `catalogue`.
 struct Configuration {
@@ -41,6 +43,7 @@
     NodeDecisions decisions;
     TargetGate gate;
     SplitState split;
+    LeaseLink* leases = nullptr; ///< Rate limits of customers; set by the node.
     Configuration configuration;
     TargetState target;
     bool canReachStore = true; ///< False after repeated failures of calls to the store.
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -60,6 +60,9 @@
         return makeTextResponse(http::status::gateway_timeout, "the time limit has passed\n");
     if (failure.outcome != Outcome::NotRun && !isSafeguardDisabled("true-refusals"))
         return makeTextResponse(http::status::bad_gateway, "the target's answer was lost\n");
+    if (failure.reason == Reason::CallerLimit)
+        return makeTextResponse(
+            http::status::too_many_requests, "not run; over the rate limit\n", failure.retryAfter);
     const absl::Duration retryAfter
         = std::max(absl::Milliseconds(1), std::min(kMaxRetryAfter, callerRemainingTime * kRetryAfterShare));
     return makeTextResponse(http::status::service_unavailable, "not run; come back later\n", retryAfter);
