--- a/include/jackdawwall/token-coordinator.h
+++ b/include/jackdawwall/token-coordinator.h
@@ -67,7 +67,8 @@
     std::uint32_t tokens = 0;
     bool isExtended = false; ///< The tokens that the request stated as held get the new expiry.
     absl::Duration lease; ///< From the moment the request was sent.
-    /// Set if fewer tokens were granted than requests wait: the next token is expected after this time.
+    /// If fewer tokens were granted than requests wait: the next token is expected after this time. 0 if that
+    /// is not known.
     absl::Duration retryAfter;
 };
 
--- a/src/token-coordinator.cc
+++ b/src/token-coordinator.cc
@@ -223,11 +223,11 @@
     tokens.level -= reply.tokens;
     tokens.leased += reply.tokens;
     const bool isSatisfied = lease.confirmed + reply.tokens >= request.waiting;
-    const bool isSpent = tokens.role == CoordinatorRole::Substitute
-        && now - tokens.substituteSince > kSubstituteTime && tokens.level < 1;
-    if (!isSatisfied && !isSpent)
+    // A substitute that has no token can't tell whether the first has some.
+    const bool isFirst = tokens.role == CoordinatorRole::First;
+    if (!isSatisfied && (isFirst || now - tokens.substituteSince < kSubstituteTime))
         reply.retryAfter = timeToToken(tokens, limit, share, now);
-    reply.status = isSatisfied || !isSpent ? LeaseStatus::Answered : LeaseStatus::Withheld;
+    reply.status = isSatisfied || isFirst ? LeaseStatus::Answered : LeaseStatus::Withheld;
     reply.isExtended = isKnown;
     reply.grant = ++tokens.lastGrant;
     lease.run = request.run;
--- a/src/token-lease.cc
+++ b/src/token-lease.cc
@@ -142,7 +142,8 @@
     const bool isUnknown = reply.status != LeaseStatus::Answered;
     const bool isRefused = isUnknown || reply.retryAfter > absl::ZeroDuration();
     if (isRefused)
-        rememberRefusal(held, !isUnknown, isUnknown ? kUnknownRetryAfter : reply.retryAfter, now);
+        rememberRefusal(held, !isUnknown,
+            reply.retryAfter > absl::ZeroDuration() ? reply.retryAfter : kUnknownRetryAfter, now);
     return decideWaiters(held, isRefused, now);
 }
 
