--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -156,6 +156,12 @@
     ++(isRefused ? counts.refused : counts.started);
 }
 
+void Metrics::countLimitEvent(absl::string_view event, std::uint64_t count)
+{
+    const absl::MutexLock lock(&mutex_);
+    limitEvents_[absl::StrCat("event=\"", event, "\"")] += count;
+}
+
 std::string Metrics::expose(const std::string& gauges) const
 {
     const absl::MutexLock lock(&mutex_);
@@ -174,6 +180,9 @@
         "Requests answered with an error before they were routed, by status.", rejectedRequests_);
     appendLabelled(
         text, "jackdaw_refused_keys_total", "Requests refused for their key, by reason.", refusedKeys_);
+    if (!limitEvents_.empty())
+        appendLabelled(text, "jackdaw_limit_events_total", "Events of customers' rate limits over all nodes.",
+            limitEvents_);
     return text + gauges;
 }
 
--- a/src/adapter/metrics.h
+++ b/src/adapter/metrics.h
@@ -67,6 +67,8 @@
     void countRejectedRequest(unsigned status);
     /// Counts a request that was refused for its key: "missing", "unknown" or "withdrawn".
     void countRefusedKey(absl::string_view reason);
+    /// Counts events of customers' rate limits over all nodes, such as "lease-request".
+    void countLimitEvent(absl::string_view event, std::uint64_t count);
 
     /// Returns the text exposition; `gauges` is appended unchanged.
     std::string expose(const std::string& gauges) const;
@@ -84,6 +86,7 @@
     absl::btree_map<std::string, std::uint64_t> storeCalls_ ABSL_GUARDED_BY(mutex_); ///< By label text.
     absl::btree_map<std::string, std::uint64_t> rejectedRequests_ ABSL_GUARDED_BY(mutex_); ///< By label text.
     absl::btree_map<std::string, std::uint64_t> refusedKeys_ ABSL_GUARDED_BY(mutex_); ///< By label text.
+    absl::btree_map<std::string, std::uint64_t> limitEvents_ ABSL_GUARDED_BY(mutex_); ///< By label text.
 };
 
 } // namespace jackdawwall
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -46,5 +46,6 @@
 /// call; only with the setting `balance`.
 inline constexpr char kLoadHeader[] = "Jackdaw-Hop-Load";
 inline constexpr char kMembershipUpdateHeader[] = "Jackdaw-Hop-News"; ///< Marks a membership message.
+inline constexpr char kLeaseHeader[] = "Jackdaw-Hop-Lease"; ///< Marks lease requests of a node.
 
 } // namespace jackdawwall::relay
