One budget for the connections of all ports

Cause: limits held for single parts of a message, but not for what a process holds. Read buffers, parsed heads, pending requests and unread responses were not counted, only the caller port capped its connections, and a limit on heads did not hold for complete lines. Responses that the node makes itself were written within the parsing of their requests, so pipelined requests could exhaust the stack and queue responses without limit.

Change: - ByteBudget has a parent: all that connections hold shares half of memoryMegabytes, callers' connections nine tenths of that, responses of targets three tenths of the memory. - Idle connections hold no read buffer; a head is parsed only when it is complete; chunked bodies are counted by the memory that they take. - When the budget is used up, the oldest connection without a complete request gives way, then one whose client has not read for 2 s, then the request that needs the memory gets 503 (connection-eviction.h). - Each port caps its connections by its share of descriptors; at the cap, a connection without a request, or one that has been idle for long, makes room. Outgoing connections stay within the rest. - A client may have 16 requests that are pending or whose responses are not read. - TCP_USER_TIMEOUT is set on connections between nodes and to the store only, not on those of callers and targets; progress of slow readers is taken from what the kernel still holds. - Freed memory returns to the system (process-memory.h). - jackdaw-node has the settings memoryMegabytes and descriptors. - Counters and log lines by port and reason.

--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -95,10 +95,16 @@
     ++storeCalls_[absl::StrCat("call=\"", call, "\",result=\"", result, "\"")];
 }
 
-void Metrics::countRejectedRequest(unsigned status)
+void Metrics::countRejectedRequest(absl::string_view port, unsigned status, absl::string_view reason)
 {
     const absl::MutexLock lock(&mutex_);
-    ++rejectedRequests_[absl::StrCat("status=\"", status, "\"")];
+    ++rejectedRequests_[absl::StrCat("port=\"", port, "\",status=\"", status, "\",reason=\"", reason, "\"")];
+}
+
+void Metrics::countClosedConnection(absl::string_view port, absl::string_view reason)
+{
+    const absl::MutexLock lock(&mutex_);
+    ++closedConnections_[absl::StrCat("port=\"", port, "\",reason=\"", reason, "\"")];
 }
 
 std::string Metrics::expose(const std::string& gauges) const
@@ -115,7 +121,11 @@
     appendLabelled(
         text, "jackdaw_store_calls_total", "Calls to the platform's store, by how they ended.", storeCalls_);
     appendLabelled(text, "jackdaw_rejected_requests_total",
-        "Requests answered with an error before they were routed, by status.", rejectedRequests_);
+        "Requests answered with an error before they were routed, by "
+        "port, status and reason.",
+        rejectedRequests_);
+    appendLabelled(text, "jackdaw_closed_connections_total",
+        "Connections closed because of a limit, by port and reason.", closedConnections_);
     return text + gauges;
 }
 
--- a/src/adapter/metrics.h
+++ b/src/adapter/metrics.h
@@ -49,7 +49,9 @@
     /// Counts a call to the platform's store, such as "watch", by its result: "ok" or the name of an error.
     void countStoreCall(absl::string_view call, absl::string_view result);
     /// Counts a request that was answered with an error before it was routed.
-    void countRejectedRequest(unsigned status);
+    void countRejectedRequest(absl::string_view port, unsigned status, absl::string_view reason);
+    /// Counts a connection that was closed because of a limit.
+    void countClosedConnection(absl::string_view port, absl::string_view reason);
 
     /// Returns the text exposition; `gauges` is appended unchanged.
     std::string expose(const std::string& gauges) const;
@@ -63,6 +65,8 @@
     std::uint64_t hedges_ ABSL_GUARDED_BY(mutex_) = 0;
     std::uint64_t controlBytes_ ABSL_GUARDED_BY(mutex_) = 0;
     absl::btree_map<std::string, std::uint64_t> storeCalls_ ABSL_GUARDED_BY(mutex_); ///< By label text.
+    absl::btree_map<std::string, std::uint64_t> closedConnections_ ABSL_GUARDED_BY(
+        mutex_); ///< By label text.
     absl::btree_map<std::string, std::uint64_t> rejectedRequests_ ABSL_GUARDED_BY(mutex_); ///< By label text.
 };
 
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -58,8 +58,6 @@
 /// Number of nodes that watch the catalogue on behalf of all; chosen so that some remain when one data centre
 /// is lost.
 constexpr std::size_t kWatchers = 5;
-/// A node has a memory budget of 64 MB for control data; buffered bodies come on top of it.
-constexpr std::size_t kMemoryLimitBytes = 256U << 20;
 
 } // namespace
 
@@ -74,7 +72,8 @@
     result.operatorAddress = settings.operatorAddress;
     result.targetAddress = settings.targetAddress;
     result.seedAddresses = settings.seedAddresses;
-    result.memoryBytes = kMemoryLimitBytes;
+    result.memoryBytes = settings.memoryBytes;
+    result.descriptors = settings.descriptors;
     result.watchers = kWatchers;
     result.gossipInterval = settings.heartbeatInterval;
     result.callerDrainTime = settings.leaveDelay;
@@ -112,6 +111,7 @@
     settings.dataCentre = reader.requiredText("dataCentre");
     readAddresses(reader, settings);
     readTimes(reader, settings);
+    relay::readProcessLimits(reader, settings.memoryBytes, settings.descriptors);
     settings.logPath = reader.text("logPath", "");
     settings.logLevel = readLogLevel(reader);
     reader.reportUnknownKeys();
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -22,6 +22,8 @@
     std::string targetAddress; ///< The local target.
     std::vector<std::string> platformAddresses;
     std::vector<std::string> seedAddresses; ///< Peer addresses used when the platform is unavailable.
+    std::size_t memoryBytes = 256U << 20; ///< Memory limit of the process.
+    std::size_t descriptors = 4096; ///< File descriptors available to connections.
     absl::Duration heartbeatInterval = absl::Milliseconds(500);
     absl::Duration leaveDelay = absl::Seconds(3); ///< New work is accepted this long after announcing a stop.
     absl::Duration drainTimeout = absl::Seconds(60); ///< Limit for work in progress during a planned stop.
--- a/src/relay/http-listener.cc
+++ b/src/relay/http-listener.cc
@@ -5,6 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <array>
+
 namespace jackdawwall::relay {
 namespace {
 
@@ -14,9 +16,16 @@
 constexpr auto kTimeoutCheckInterval = std::chrono::milliseconds(500);
 /// Delay before the next accept after a failure, e.g. when the process is out of descriptors.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
+constexpr std::size_t kReadBytes = 16U << 10;
+constexpr std::array<absl::string_view, 4> kCloseReasonNames { "memory", "connections", "refused", "unread" };
 
 } // namespace
 
+absl::string_view toText(CloseReason reason)
+{
+    return kCloseReasonNames.at(static_cast<std::size_t>(reason));
+}
+
 Tcp::acceptor openAcceptor(asio::io_context& loop, const std::string& address)
 {
     Tcp::acceptor acceptor(loop);
@@ -41,6 +50,7 @@
     , timeoutTimer_(loop)
     , handler_(std::move(handler))
     , budget_(budget)
+    , readBuffer_(kReadBytes)
 {
     accept();
     checkTimeouts();
@@ -64,15 +74,59 @@
             retryTimer->async_wait([this, retryTimer](beast::error_code) { accept(); });
             return;
         }
-        if (sessions_.size() < limits_.maxSessions) {
-            auto session = std::make_shared<HttpSession>(*this, std::move(socket));
-            sessions_.insert(session);
-            session->start();
-        }
+        open(std::move(socket));
         accept();
     });
 }
 
+void HttpListener::open(Tcp::socket socket)
+{
+    if (sessions_.size() >= limits_.maxSessions && !evictForNew()) {
+        beast::error_code ignored; // A caller that has already disconnected has no address.
+        if (onClosed)
+            onClosed({ CloseReason::Refused, 0, socket.remote_endpoint(ignored).address() });
+        return;
+    }
+    auto session = std::make_shared<HttpSession>(*this, std::move(socket));
+    sessions_.insert(session);
+    session->start();
+}
+
+bool HttpListener::evictForNew()
+{
+    const absl::Time now = steadyNow();
+    std::shared_ptr<HttpSession> chosen;
+    EvictionCandidate best;
+    for (const auto& session : sessions_) {
+        const ConnectionLoad load = session->load();
+        const EvictionCandidate candidate { connectionEvictionRank(load, limits_.reusedFor, now),
+            load.waitingSince };
+        if (candidate.rank != EvictionRank::Never && isEvictedBefore(candidate, best)) {
+            best = candidate;
+            chosen = session;
+        }
+    }
+    if (chosen == nullptr)
+        return false;
+    chosen->evict(CloseReason::Connections);
+    return true;
+}
+
+std::shared_ptr<HttpSession> HttpListener::evictionCandidate(
+    EvictionCandidate& candidate, EvictionRank highest, absl::Time now) const
+{
+    std::shared_ptr<HttpSession> chosen;
+    for (const auto& session : sessions_) {
+        const ConnectionLoad load = session->load();
+        const EvictionCandidate other { memoryEvictionRank(load, now), load.waitingSince };
+        if (other.rank != EvictionRank::Never && other.rank <= highest && isEvictedBefore(other, candidate)) {
+            candidate = other;
+            chosen = session;
+        }
+    }
+    return chosen;
+}
+
 void HttpListener::checkTimeouts()
 {
     const absl::Time now = steadyNow();
--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -1,25 +1,27 @@
 #include "relay/http-session.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 
 namespace jackdawwall::relay {
 namespace {
 
 constexpr absl::string_view kLineEnd = "\r\n";
-constexpr std::size_t kReadSize = 16U << 10;
-/// Limit on the unparsed bytes of a connection.
+/// Reads of a connection before others get their turn.
+constexpr int kReadsAtOnce = 4;
+/// Limit on the unparsed bytes of a connection, unless its limit on heads is larger.
 constexpr std::size_t kMaxBufferedBytes = 64U << 10;
+/// Bytes of a response that are handed to the kernel at once.
+constexpr std::size_t kWriteSize = 64U << 10;
 /// Limit on the pending requests of a connection.
 constexpr std::size_t kMaxPipelinedRequests = 16;
-/// How long the caller may take to close after the last response.
-constexpr absl::Duration kLingerTimeout = absl::Seconds(2);
-/// How long a caller may take to read a response.
-constexpr absl::Duration kWriteTimeout = absl::Seconds(20);
 /// Retry delay for callers whose body exceeds the buffer budget.
 constexpr absl::Duration kBusyRetryAfter = absl::Milliseconds(300);
 constexpr unsigned kPayloadTooLarge = 413;
@@ -63,13 +65,20 @@
     , waitStartedAt_(steadyNow())
 {
     setSocketOptions(socket_);
+    if (listener_.limits_.failsUnacknowledged)
+        limitUnacknowledgedTime(socket_);
     beast::error_code ignoredError; // A caller that has already disconnected has no address.
+    socket_.non_blocking(true, ignoredError);
     remoteAddress_ = socket_.remote_endpoint(ignoredError).address();
+    if (listener_.budget_ != nullptr) {
+        reservation_ = ByteReservation(*listener_.budget_);
+        reservation_.setTo(heldBytes());
+    }
 }
 
 void HttpSession::start()
 {
-    read();
+    awaitInput();
 }
 
 bool HttpSession::isIdleFor(absl::Duration time) const
@@ -77,19 +86,25 @@
     return pending_.empty() && !isWriting_ && !hasPartialRequest_ && steadyNow() - waitStartedAt_ >= time;
 }
 
-void HttpSession::read()
+std::size_t HttpSession::maxBufferedBytes() const
+{
+    // A head and its request line have a limit each.
+    return std::max<std::size_t>(kMaxBufferedBytes, 2 * std::size_t { listener_.limits_.headerBytes });
+}
+
+/// Waits until the socket can be read. No buffer is held meanwhile.
+void HttpSession::awaitInput()
 {
-    if (isReading_ || isClosed_ || buffer_.size() >= kMaxBufferedBytes)
+    if (isReading_ || isClosed_ || buffer_.size() >= maxBufferedBytes())
         return;
     isReading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(kReadSize), [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
-            self->isReading_ = false;
-            self->onRead(error, bytes);
-        });
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+        self->isReading_ = false;
+        self->onReadable(error);
+    });
 }
 
-void HttpSession::onRead(beast::error_code error, std::size_t bytes)
+void HttpSession::onReadable(beast::error_code error)
 {
     if (isClosed_)
         return;
@@ -97,17 +112,49 @@
         close();
         return;
     }
-    buffer_.commit(bytes);
-    if (isEnding_)
-        buffer_.consume(buffer_.size());
-    else
-        parseRequests();
-    read();
+    for (int count = 0; count < kReadsAtOnce && readOnce(); ++count) { }
+    awaitInput();
+}
+
+bool HttpSession::readOnce()
+{
+    if (isClosed_ || buffer_.size() >= maxBufferedBytes())
+        return false;
+    std::vector<char>& readBuffer = listener_.readBuffer_;
+    beast::error_code error;
+    const std::size_t bytes = socket_.read_some(asio::buffer(readBuffer), error);
+    if (error == asio::error::would_block)
+        return false;
+    if (error) {
+        close();
+        return false;
+    }
+    if (!isEnding_) {
+        buffer_.commit(asio::buffer_copy(buffer_.prepare(bytes), asio::buffer(readBuffer, bytes)));
+        continueParsing();
+    }
+    return bytes == readBuffer.size();
+}
+
+void HttpSession::continueParsing()
+{
+    parseRequests();
+    if (!isClosed_ && !isEnding_ && !reserveHeld())
+        refuse(http::status::service_unavailable, "not run; too much is held for others");
+    releaseBuffer();
+}
+
+void HttpSession::releaseBuffer()
+{
+    if (buffer_.size() == 0 && !hasPartialRequest_ && buffer_.capacity() > 0)
+        buffer_.shrink_to_fit();
 }
 
 void HttpSession::parseRequests()
 {
-    while (!isEnding_ && !isClosed_ && pending_.size() < kMaxPipelinedRequests && parseRequest()) { }
+    // Requests whose responses are not read count as well: their number is what bounds the responses.
+    while (!isEnding_ && !isClosed_ && pending_.size() + (unwrittenParts() + 1) / 2 < kMaxPipelinedRequests
+        && parseRequest()) { }
 }
 
 /// Empty lines before a request are ignored (RFC 9112, 2.2).
@@ -124,65 +171,122 @@
 
 bool HttpSession::parseRequest()
 {
-    if (!parser_)
-        skipEmptyLines();
-    // Nothing, or the first byte of one more empty line.
-    if (buffer_.size() == 0 || (!parser_ && unparsedBytes() == kLineEnd.substr(0, 1)))
-        return false;
-    if (!parser_) {
-        parser_.emplace();
-        parser_->eager(true);
-        parser_->header_limit(listener_.limits_.headerBytes);
-        parser_->body_limit(listener_.limits_.bodyBytes);
-    }
     if (!hasPartialRequest_) {
+        skipEmptyLines();
+        // Nothing, or the first byte of one more empty line.
+        if (buffer_.size() == 0 || unparsedBytes() == kLineEnd.substr(0, 1))
+            return false;
         hasPartialRequest_ = true;
         waitStartedAt_ = steadyNow();
+        headScanner_.reset();
     }
-    beast::error_code error;
+    if (!parser_ && !parseHead())
+        return false;
+    return parseBody();
+}
+
+/// Starts to parse once the head is complete. Returns false before that, or after a refusal.
+bool HttpSession::parseHead()
+{
+    const ListenerLimits& limits = listener_.limits_;
+    const absl::string_view bytes = unparsedBytes();
+    const bool isToken = absl::ascii_isgraph(static_cast<unsigned char>(bytes[0]));
+    const HeadScanner::Result result = isToken ? headScanner_.scan(bytes) : HeadScanner::Result::Malformed;
+    const bool isComplete = result == HeadScanner::Result::Complete;
+    if (headScanner_.fieldBytes(isComplete ? headScanner_.headBytes() : bytes.size()) > limits.headerBytes
+        && result != HeadScanner::Result::Malformed) {
+        refuse(http::status::request_header_fields_too_large, "the head is too long");
+        return false;
+    }
+    if (result == HeadScanner::Result::Incomplete)
+        return false;
+    if (isComplete) {
+        partialHeadBytes_ = headScanner_.headBytes() + headScanner_.lines() * kFieldBytes;
+        if (!reserveHeld()) {
+            refuse(http::status::service_unavailable, "not run; too much is held for others");
+            return false;
+        }
+    }
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(std::numeric_limits<std::uint32_t>::max()); // Checked above.
+    parser_->body_limit(limits.bodyBytes);
+    return true;
+}
+
+bool HttpSession::parseBody()
+{
     const bool wasHeaderDone = parser_->is_header_done();
+    if (wasHeaderDone && buffer_.size() == 0)
+        return false;
+    if (wasHeaderDone && !reserveParsedBody()) {
+        refuse(http::status::service_unavailable, "not run; too much is held for others");
+        return false;
+    }
+    beast::error_code error;
     buffer_.consume(parser_->put(buffer_.data(), error));
-    if (error && error != http::error::need_more) {
+    if ((error && error != http::error::need_more) || !parser_->is_header_done()) {
         refuse(statusFor(error), error.message());
         return false;
     }
-    if (parser_->is_header_done() && !reserveBody()) {
+    const std::uint64_t declaredSize = parser_->content_length().value_or(0);
+    const std::string& body = parser_->get().body();
+    if (!reserveBody(std::max<std::size_t>(declaredSize, body.empty() ? 0 : body.capacity()))) {
         refuse(http::status::service_unavailable, "not run; too much is held for others");
         return false;
     }
-    if (!wasHeaderDone && parser_->is_header_done() && !parser_->is_done())
+    if (!wasHeaderDone && !parser_->is_done())
         sendContinue();
     if (!parser_->is_done()) {
         // The parser can't use what it has, and no more is read: for example a chunk's line without end.
-        if (buffer_.size() >= kMaxBufferedBytes)
+        if (buffer_.size() >= maxBufferedBytes())
             refuse(http::status::bad_request, "a line of the body is too long");
         return false;
     }
+    acceptRequest();
+    return true;
+}
+
+/// Makes room for the next part of a chunked body. The body's memory at most doubles at a time, and does not
+/// exceed the limit on bodies.
+bool HttpSession::reserveParsedBody()
+{
+    if (!parser_->chunked())
+        return true;
+    std::string& body = parser_->get().body();
+    const std::size_t size = body.size() + buffer_.size();
+    if (size <= body.capacity())
+        return true;
+    const std::size_t capacity = std::max<std::size_t>(
+        size, std::min<std::uint64_t>(2 * body.capacity(), listener_.limits_.bodyBytes));
+    if (!reserveBody(capacity))
+        return false;
+    body.reserve(capacity);
+    return true;
+}
+
+void HttpSession::acceptRequest()
+{
     auto incoming = std::make_shared<IncomingRequest>();
+    const bool mayHaveTrailers = parser_->chunked();
     incoming->request = parser_->release();
     useOriginForm(incoming->request);
     incoming->receivedAt = steadyNow();
     incoming->remoteAddress = remoteAddress_;
     incoming->session = weak_from_this();
     incoming->bodyReservation = std::exchange(bodyReservation_, {});
+    incoming->headBytes = std::exchange(partialHeadBytes_, 0);
+    if (mayHaveTrailers) {
+        const auto& fields = incoming->request.base();
+        incoming->headBytes
+            += kFieldBytes * static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+    }
     hasBodyReservation_ = false;
+    hasReceivedRequest_ = true;
     parser_.reset();
     hasPartialRequest_ = false;
     pending_.push_back(std::move(incoming));
     dispatch();
-    return true;
-}
-
-/// Reserves the larger of the body's declared and received size from the budget.
-bool HttpSession::reserveBody()
-{
-    if (listener_.budget_ == nullptr)
-        return true;
-    if (!hasBodyReservation_)
-        bodyReservation_ = ByteReservation(*listener_.budget_);
-    hasBodyReservation_ = true;
-    const std::uint64_t declaredSize = parser_->content_length().value_or(0);
-    return bodyReservation_.growTo(std::max<std::size_t>(declaredSize, parser_->get().body().size()));
 }
 
 /// Responds with an error and ends the connection, as its remaining bytes can't be parsed.
@@ -199,8 +303,13 @@
             absl::CHexEscape(unparsedBytes().substr(0, kMaxLoggedBytes)), remoteAddress_ });
     }
     parser_.reset();
+    partialHeadBytes_ = 0;
+    bodyReservation_ = {};
+    hasBodyReservation_ = false;
     hasPartialRequest_ = false;
     isEnding_ = true;
+    buffer_.consume(buffer_.size());
+    releaseBuffer();
     pending_.push_back(std::move(incoming));
     flush();
 }
@@ -258,11 +367,12 @@
     if (!hasSent)
         return;
     waitStartedAt_ = steadyNow();
+    reservation_.setTo(heldBytes());
     if (!listener_.isClosing_)
         dispatch();
     if (!isEnding_) {
-        parseRequests();
-        read();
+        continueParsing();
+        awaitInput();
     }
 }
 
@@ -287,13 +397,19 @@
     std::vector<asio::const_buffer> buffers;
     for (const OutgoingBytes& outgoing : writing_)
         buffers.push_back(asio::buffer(outgoing.bytes));
-    asio::async_write(socket_, buffers,
+    const auto notePart = [self = shared_from_this()](beast::error_code error, std::size_t written) {
+        if (written > 0)
+            self->waitStartedAt_ = steadyNow();
+        return error ? 0 : kWriteSize;
+    };
+    asio::async_write(socket_, buffers, notePart,
         [self = shared_from_this()](beast::error_code error, std::size_t) { self->onWritten(error); });
 }
 
 void HttpSession::onWritten(beast::error_code error)
 {
     isWriting_ = false;
+    unacknowledgedBytes_ = 0;
     writing_.clear();
     if (isClosed_)
         return;
@@ -306,6 +422,11 @@
         write();
     else if (isEnding_ && pending_.empty())
         finish();
+    reservation_.setTo(heldBytes());
+    if (isEnding_ || isClosed_ || buffer_.size() == 0)
+        return;
+    continueParsing();
+    awaitInput();
 }
 
 void HttpSession::sendContinue()
@@ -328,29 +449,7 @@
     if (error)
         close();
     else
-        read();
-}
-
-void HttpSession::checkTimeouts(absl::Time now)
-{
-    const absl::Duration waited = now - waitStartedAt_;
-    const ListenerLimits& limits = listener_.limits_;
-    if (isSendClosed_) {
-        if (waited > kLingerTimeout)
-            close();
-        return;
-    }
-    if (isWriting_) {
-        if (waited > kWriteTimeout)
-            close();
-        return;
-    }
-    if (!pending_.empty())
-        return;
-    if (hasPartialRequest_ && !parser_->is_header_done() && waited > limits.headerTimeout)
-        refuse(http::status::request_timeout, "the head of the request took too long");
-    else if (waited > limits.idleTimeout)
-        finish();
+        awaitInput();
 }
 
 void HttpSession::close()
@@ -361,6 +460,13 @@
     const auto self = shared_from_this();
     beast::error_code error;
     socket_.close(error);
+    release();
+    abandonRequests();
+    listener_.sessions_.erase(self);
+}
+
+void HttpSession::abandonRequests()
+{
     for (const IncomingRequestPtr& incoming : std::exchange(pending_, {})) {
         const bool wasDone = std::exchange(incoming->isDone, true);
         if (!wasDone && incoming->onAbandoned)
@@ -368,7 +474,6 @@
         if (incoming->onFinished)
             std::exchange(incoming->onFinished, nullptr)();
     }
-    listener_.sessions_.erase(self);
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -1,6 +1,7 @@
 /// One connection of a caller.
 #pragma once
 
+#include "relay/head-scanner.h"
 #include "relay/http-listener.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,6 +11,9 @@
 
 namespace jackdawwall::relay {
 
+/// Memory of a parsed header besides its bytes.
+inline constexpr std::size_t kFieldBytes = 96;
+
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
     HttpSession(HttpListener& listener, Tcp::socket socket);
@@ -28,6 +32,12 @@
     /// Shuts down the sending side. The caller's remaining bytes are still read: unread bytes would cause a
     /// reset, which may discard the response.
     void finish();
+    /// What the connection holds, for the choice of the one to evict.
+    ConnectionLoad load() const;
+    /// Releases what the connection holds at once and closes it. Its requests are abandoned from the event
+    /// loop.
+    void evict(CloseReason reason);
+    bool isGrowing() const { return isGrowing_; }
 
 private:
     struct OutgoingBytes {
@@ -35,10 +45,24 @@
         ByteReservation reservation;
     };
 
-    void read();
-    void onRead(beast::error_code error, std::size_t bytes);
+    void awaitInput();
+    void onReadable(beast::error_code error);
+    /// Returns false if nothing more can be read now.
+    bool readOnce();
+    std::size_t maxBufferedBytes() const;
     void parseRequests();
     bool parseRequest();
+    bool parseHead();
+    bool parseBody();
+    bool reserveParsedBody();
+    void acceptRequest();
+    std::size_t heldBytes() const;
+    bool reserveHeld();
+    void releaseBuffer();
+    void release();
+    void continueParsing();
+    template <typename Reserve> bool reserve(Reserve reserve);
+    void reportClosed(CloseReason reason) const;
     void skipEmptyLines();
     absl::string_view unparsedBytes() const;
     void refuse(http::status status, absl::string_view text);
@@ -46,7 +70,10 @@
     bool hasDispatchedRequest() const;
     void write();
     void enqueue(std::string bytes, ByteReservation reservation = {});
-    bool reserveBody();
+    bool reserveBody(std::size_t bytes);
+    std::size_t unwrittenParts() const { return writing_.size() + writeQueue_.size(); }
+    bool hasClientRead();
+    void abandonRequests();
     void onWritten(beast::error_code error);
     void sendContinue();
 
@@ -58,8 +85,14 @@
     std::deque<IncomingRequestPtr> pending_;
     std::vector<OutgoingBytes> writing_;
     std::vector<OutgoingBytes> writeQueue_;
+    HeadScanner headScanner_;
+    ByteReservation reservation_; ///< For all but bodies and responses of targets, see heldBytes.
     ByteReservation bodyReservation_; ///< For the body being read.
     bool hasBodyReservation_ = false;
+    std::size_t partialHeadBytes_ = 0; ///< Estimated memory of the parsed head whose body is incomplete.
+    int unacknowledgedBytes_ = 0; ///< In the kernel, when last checked.
+    bool hasReceivedRequest_ = false;
+    bool isGrowing_ = false; ///< This connection needs the room that is being made.
     bool isWriting_ = false;
     bool isReading_ = false;
     bool isEnding_ = false; ///< No further requests are accepted.
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -169,7 +169,11 @@
     setOption(socketHandle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
     setOption(socketHandle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
     setOption(socketHandle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-    setOption(socketHandle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
+}
+
+void limitUnacknowledgedTime(Tcp::socket& socket)
+{
+    setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
 }
 
 } // namespace jackdawwall::relay
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -65,7 +65,10 @@
 /// Endpoint of "ip:port"; throws std::invalid_argument for anything else.
 Tcp::endpoint parseEndpoint(const std::string& address);
 
-/// Sets TCP options so that a dead path is detected within seconds.
+/// Sets TCP options so that a dead path of an idle connection is detected within seconds.
 void setSocketOptions(Tcp::socket& socket);
+/// Fails the connection when sent bytes stay unacknowledged for 2 s. For peers that always read: Linux also
+/// counts the time during which the peer's window is closed.
+void limitUnacknowledgedTime(Tcp::socket& socket);
 
 } // namespace jackdawwall::relay
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -30,12 +30,21 @@
 /// Largest body of a heartbeat or of a readiness check.
 constexpr std::uint64_t kMaxReportBytes = 64U << 10;
 
+/// Other nodes send work that may not run twice only on connections with a shorter idle time (see
+/// caller-call.cc), and repeat other work.
+constexpr absl::Duration kPeerReuseTime = absl::Seconds(4);
+/// Share of the idle time during which callers reuse connections.
+constexpr double kCallerReuseShare = 0.8;
+constexpr std::size_t kMinReportSessions = 8;
+
 /// Limits of the ports that callers don't use.
 ListenerLimits internalPortLimits()
 {
     ListenerLimits limits;
     limits.headerBytes = 64U << 10;
     limits.idleTimeout = absl::Minutes(5);
+    limits.reusedFor = kPeerReuseTime;
+    limits.failsUnacknowledged = true;
     return limits;
 }
 
@@ -90,20 +99,19 @@
               [this] { onStoreReachabilityChanged(); } })
     , callerListener_(
           loop, std::move(ports.callers),
-          [this](const IncomingRequestPtr& incoming) { onCallerRequest(incoming); }, &state_.bufferedBodies)
+          [this](const IncomingRequestPtr& incoming) { onCallerRequest(incoming); }, &state_.heldForCallers)
     , peerListener_(
           loop, std::move(ports.peers),
-          [this](const IncomingRequestPtr& incoming) { onPeerRequest(incoming); }, &state_.bufferedBodies)
+          [this](const IncomingRequestPtr& incoming) { onPeerRequest(incoming); }, &state_.held)
+    , portLimits_(state_)
     , tickTimer_(loop)
 {
-    const auto openListener
-        = [&](std::optional<HttpListener>& listener, std::optional<Tcp::acceptor>& acceptor,
-              const ListenerLimits& limits, RequestHandler handler) {
-              if (acceptor)
-                  listener.emplace(loop, *std::move(acceptor), std::move(handler), &state_.bufferedBodies)
-                      .setLimits(limits);
-          };
-    callerListener_.onRejected = [this](const RejectedRequest& rejected) { recordRejectedRequest(rejected); };
+    const auto openListener = [&](std::optional<HttpListener>& listener,
+                                  std::optional<Tcp::acceptor>& acceptor, const ListenerLimits& limits,
+                                  RequestHandler handler) {
+        if (acceptor)
+            listener.emplace(loop, *std::move(acceptor), std::move(handler), &state_.held).setLimits(limits);
+    };
     openListener(readyListener_, ports.ready, reportPortLimits(),
         [this](const IncomingRequestPtr& incoming) { onReadyRequest(incoming); });
     openListener(heartbeatListener_, ports.heartbeats, reportPortLimits(),
@@ -112,9 +120,20 @@
         [this](const IncomingRequestPtr& incoming) { onOperatorRequest(incoming); });
     ListenerLimits callerLimits;
     callerLimits.headerTimeout = state_.settings.headerTimeout;
-    callerLimits.maxSessions = maxCallerSessions();
     callerListener_.setLimits(callerLimits);
     peerListener_.setLimits(internalPortLimits());
+    configureAllocator();
+    portLimits_.add(callerListener_, "caller", kCallerDescriptorShare);
+    portLimits_.add(peerListener_, "peer", kPeerDescriptorShare);
+    const auto addReportPort = [this](std::optional<HttpListener>& listener, const char* name) {
+        if (listener)
+            portLimits_.add(*listener, name, kReportDescriptorShare, kMinReportSessions);
+    };
+    addReportPort(readyListener_, "ready");
+    addReportPort(heartbeatListener_, "heartbeat");
+    addReportPort(operatorListener_, "operator");
+    portLimits_.setCallerPort(callerListener_);
+    portLimits_.update();
     if (!heartbeatListener_)
         assumeTargetReady();
     for (const std::string& address : state_.settings.seedAddresses)
@@ -124,15 +143,10 @@
     tick();
 }
 
-std::size_t RelayNode::maxCallerSessions() const
-{
-    return static_cast<std::size_t>(
-        static_cast<double>(state_.settings.descriptors) * kCallerDescriptorShare);
-}
-
 void RelayNode::reload(const RelaySettings& newSettings)
 {
     applySettings(state_, newSettings);
+    portLimits_.update();
     logEvent(LogLevel::Info, "settings-applied",
         { { "memory_bytes", newSettings.memoryBytes }, { "descriptors", newSettings.descriptors },
             { "stop_ms", absl::ToInt64Milliseconds(newSettings.stopTime) },
@@ -167,6 +181,7 @@
 {
     state_.gate.tick(steadyNow());
     state_.requestLog.tick(steadyNow());
+    memoryTrimmer_.tick(state_.held.reserved(), steadyNow());
     if (state_.isStopping)
         checkStopProgress();
     tickTimer_.expires_after(kTickInterval);
@@ -186,15 +201,6 @@
     callerGate_.accept(incoming);
 }
 
-void RelayNode::recordRejectedRequest(const RejectedRequest& rejected)
-{
-    state_.metrics.countRejectedRequest(rejected.status);
-    state_.requestLog.record("request-rejected", "", false,
-        { { "status", rejected.status }, { "error", rejected.error },
-            { "remote", rejected.remoteAddress.to_string() }, { "start", rejected.start },
-            { "config", state_.configuration.version } });
-}
-
 void RelayNode::onPeerRequest(const IncomingRequestPtr& incoming)
 {
     if (!headerValue(incoming->request, kMembershipUpdateHeader).empty()) {
@@ -378,8 +384,9 @@
         limits.bodyBytes = decoded->limits->bodyBytes;
         limits.headerTimeout = decoded->limits->headerTime;
         limits.idleTimeout = decoded->limits->idleTime;
-        limits.maxSessions = maxCallerSessions();
+        limits.reusedFor = limits.idleTimeout * kCallerReuseShare;
         callerListener_.setLimits(limits);
+        portLimits_.update();
     }
     state_.configuration = *std::move(decoded);
     state_.configuration.document = document;
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -5,6 +5,8 @@
 #include "relay/caller-gate.h"
 #include "relay/peer-link.h"
 #include "relay/platform-port.h"
+#include "relay/port-limits.h"
+#include "relay/process-memory.h"
 #include "relay/store-sync.h"
 
 #include <memory>
@@ -54,8 +56,6 @@
 
     RelayNode(asio::io_context& loop, Ports ports, PlatformPort port, CallInterface interface);
 
-    std::size_t maxCallerSessions() const;
-    void recordRejectedRequest(const RejectedRequest& rejected);
     void onCallerRequest(const IncomingRequestPtr& incoming);
     void onPeerRequest(const IncomingRequestPtr& incoming);
     void onReadyRequest(const IncomingRequestPtr& incoming) const;
@@ -84,6 +84,8 @@
     std::optional<HttpListener> readyListener_;
     std::optional<HttpListener> heartbeatListener_;
     std::optional<HttpListener> operatorListener_;
+    PortLimits portLimits_;
+    MemoryTrimmer memoryTrimmer_;
     asio::steady_timer tickTimer_;
     absl::Time stopStartedAt_;
     int ticksRefusingCallers_ = 0; ///< Ticks since the node began to reject callers.
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -12,12 +12,17 @@
 constexpr int kMegabyteShift = 20;
 constexpr double kMaxArrivalBudget = 1e6;
 constexpr std::int64_t kMaxDescriptors = 1 << 20;
-/// Descriptors reserved for files, as the platform does.
-constexpr std::int64_t kReservedDescriptors = 200;
-constexpr std::int64_t kMinDescriptors = 64;
 
 } // namespace
 
+void readProcessLimits(JsonReader& reader, std::size_t& memoryBytes, std::size_t& descriptors)
+{
+    memoryBytes = static_cast<std::size_t>(reader.integer("memoryMegabytes", 256, 16, kMaxMegabytes))
+        << kMegabyteShift;
+    descriptors = static_cast<std::size_t>(std::max<std::int64_t>(
+        kMinDescriptors, reader.integer("descriptors", 4296, 1, kMaxDescriptors) - kReservedDescriptors));
+}
+
 RelaySettings readRelaySettings(const std::string& file, std::vector<Finding>& findings)
 {
     RelaySettings settings;
@@ -42,10 +47,7 @@
     settings.operatorAddress = reader.address("operatorAddress", "127.0.0.1:0");
     settings.targetAddress = reader.address("targetAddress", "");
     settings.platformAddress = reader.address("platformAddress", "");
-    settings.memoryBytes = static_cast<std::size_t>(reader.integer("memoryMegabytes", 256, 16, kMaxMegabytes))
-        << kMegabyteShift;
-    settings.descriptors = static_cast<std::size_t>(std::max<std::int64_t>(
-        kMinDescriptors, reader.integer("descriptors", 4296, 1, kMaxDescriptors) - kReservedDescriptors));
+    readProcessLimits(reader, settings.memoryBytes, settings.descriptors);
     settings.gossipInterval = reader.milliseconds(
         "gossipIntervalMs", settings.gossipInterval, absl::Milliseconds(10), kMaxDuration);
     settings.configurationApplyTime = reader.milliseconds(
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -13,6 +13,10 @@
 #include <string>
 #include <vector>
 
+namespace jackdawwall {
+class JsonReader;
+}
+
 namespace jackdawwall::relay {
 
 struct RelaySettings {
@@ -50,10 +54,27 @@
     HeaderNames names;
 };
 
-/// Share of the memory for the buffered bodies of requests, and the same share for responses.
+/// Share of the memory for all that is held for callers and other nodes. The rest is the process itself, the
+/// state of the members, and what the allocator can't reuse.
+inline constexpr double kHeldShare = 0.5;
+/// Share of the held bytes that callers may use; the rest is reserved for other nodes and heartbeats.
+inline constexpr double kCallerHeldShare = 0.9;
+/// Share of the memory for the bodies of responses, within the share for all.
 inline constexpr double kBufferedBodiesShare = 0.3;
-/// Share of the descriptors for callers' connections; the rest is for other nodes and targets.
+/// Shares of the descriptors for the connections that each port accepts. The rest, and kOutgoingReserve, is
+/// for connections to other nodes, the target and the platform.
 inline constexpr double kCallerDescriptorShare = 0.6;
+inline constexpr double kPeerDescriptorShare = 0.2;
+inline constexpr double kReportDescriptorShare = 0.03; ///< Heartbeats, readiness and operators, each.
+/// Part of the descriptors that the settings reserve for files (see readRelaySettings) that outgoing
+/// connections may use as well.
+inline constexpr std::size_t kOutgoingReserve = 100;
+/// Descriptors of the settings that are not available to connections.
+inline constexpr std::int64_t kReservedDescriptors = 200;
+inline constexpr std::int64_t kMinDescriptors = 64;
+
+/// Reads the settings `memoryMegabytes` (256) and `descriptors` (4296): the limits of the process.
+void readProcessLimits(JsonReader& reader, std::size_t& memoryBytes, std::size_t& descriptors);
 
 /// Reads and checks a JSON file with comments; use the result only when there are no findings.
 RelaySettings readRelaySettings(const std::string& file, std::vector<Finding>& findings);
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -26,9 +26,9 @@
     return decisions;
 }
 
-std::size_t bufferedBodiesLimit(const RelaySettings& settings)
+std::size_t memoryShare(const RelaySettings& settings, double share)
 {
-    return static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * kBufferedBodiesShare);
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * share);
 }
 
 GateOptions gateOptions(const RelaySettings& settings)
@@ -46,12 +46,14 @@
 RelayState::RelayState(asio::io_context& ioLoop, RelaySettings initialSettings)
     : loop(ioLoop)
     , settings(std::move(initialSettings))
-    , bufferedBodies(bufferedBodiesLimit(settings))
-    , bufferedResponses(bufferedBodiesLimit(settings))
+    , held(memoryShare(settings, kHeldShare))
+    , heldForCallers(memoryShare(settings, kHeldShare * kCallerHeldShare), &held)
+    , bufferedResponses(memoryShare(settings, kBufferedBodiesShare), &held)
     , pool(ioLoop, &bufferedResponses)
     , decisions(initialDecisions(settings))
     , gate(decisions, pool, requestLog, metrics, gateOptions(settings))
 {
+    pool.setSlowReader(parseEndpoint(settings.targetAddress));
 }
 
 void applySettings(RelayState& state, const RelaySettings& newSettings)
@@ -63,8 +65,9 @@
     settings.configurationApplyTime = newSettings.configurationApplyTime;
     settings.stopTime = newSettings.stopTime;
     settings.arrivalBudget = newSettings.arrivalBudget;
-    state.bufferedBodies.setLimit(bufferedBodiesLimit(settings));
-    state.bufferedResponses.setLimit(bufferedBodiesLimit(settings));
+    state.held.setLimit(memoryShare(settings, kHeldShare));
+    state.heldForCallers.setLimit(memoryShare(settings, kHeldShare * kCallerHeldShare));
+    state.bufferedResponses.setLimit(memoryShare(settings, kBufferedBodiesShare));
     state.gate.setArrivalBudget(settings.arrivalBudget);
 }
 
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -33,8 +33,9 @@
 
     asio::io_context& loop;
     RelaySettings settings;
-    ByteBudget bufferedBodies; ///< Of requests.
-    ByteBudget bufferedResponses;
+    ByteBudget held; ///< All that is held for callers and other nodes.
+    ByteBudget heldForCallers; ///< The part of it that the connections of callers hold.
+    ByteBudget bufferedResponses; ///< The part of it that is bodies of responses.
     UpstreamPool pool;
     Metrics metrics;
     RequestLog requestLog;
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -47,6 +47,7 @@
     , socket_(pool.loop_)
     , timer_(pool.loop_)
 {
+    ++pool_.open_;
 }
 
 void UpstreamConnection::send(ExchangeRequest exchange, ExchangeCallback done)
@@ -83,6 +84,8 @@
         }
         self->isConnected_ = true;
         setSocketOptions(self->socket_);
+        if (self->endpoint_ != self->pool_.slowReader_)
+            limitUnacknowledgedTime(self->socket_);
         self->write();
         self->read();
     });
@@ -104,6 +107,7 @@
 
 void UpstreamConnection::resetParser()
 {
+    headBytes_ = 0;
     parser_.emplace();
     parser_->eager(true);
     parser_->skip(exchange_.isHeadRequest);
@@ -141,7 +145,8 @@
 
 std::size_t UpstreamConnection::receivedBytes() const
 {
-    return buffer_.size() + (parser_ ? parser_->get().body().size() : 0);
+    const std::string* body = parser_ ? &parser_->get().body() : nullptr;
+    return buffer_.size() + (body == nullptr || body->empty() ? 0 : body->capacity());
 }
 
 bool UpstreamConnection::reserveReceived()
@@ -196,7 +201,12 @@
 {
     while (done_ && buffer_.size() > 0) {
         beast::error_code error;
-        buffer_.consume(parser_->put(buffer_.data(), error));
+        const std::size_t parsed = parser_->put(buffer_.data(), error);
+        buffer_.consume(parsed);
+        headBytes_ += parsed;
+        // The parser's limit on heads does not hold for complete lines that arrive one by one.
+        if (!parser_->is_header_done() && headBytes_ > exchange_.maxHeadBytes)
+            error = http::error::header_limit;
         if (error && error != http::error::need_more) {
             isReusable_ = false;
             const bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit;
@@ -276,6 +286,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
+    --pool_.open_;
     pool_.active_.erase(this);
     timer_.cancel();
     beast::error_code error;
@@ -313,7 +324,17 @@
             newest->cancel();
     }
     if (!chosen) {
+        const bool isAllowed = !mayOpen || mayOpen(open_) || closeOldestIdle();
         chosen = std::make_shared<UpstreamConnection>(*this, endpoint);
+        if (!isAllowed) {
+            chosen->done_ = std::move(done);
+            chosen->close();
+            asio::post(loop_, [chosen] {
+                if (chosen->done_)
+                    chosen->finish(ExchangeStatus::NotSent);
+            });
+            return chosen;
+        }
         ++opened_;
     }
     chosen->send(std::move(exchange), std::move(done));
@@ -349,6 +370,20 @@
     return connection;
 }
 
+bool UpstreamPool::closeOldestIdle()
+{
+    std::shared_ptr<UpstreamConnection> oldest;
+    for (const auto& [endpoint, connections] : idle_) {
+        for (const auto& connection : connections) {
+            if (!oldest || connection->idleSince_ < oldest->idleSince_)
+                oldest = connection;
+        }
+    }
+    if (oldest)
+        oldest->cancel();
+    return oldest != nullptr;
+}
+
 UpstreamConnection* UpstreamPool::largestExchange() const
 {
     const auto largest = std::max_element(
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -104,6 +104,7 @@
     bool isWriting_ = false;
     bool isClosed_ = false;
     bool isReusable_ = true;
+    std::size_t headBytes_ = 0; ///< Of the response that is being received.
     int strayResponses_ = 0;
     int interimResponses_ = 0;
     int exchanges_ = 0; ///< Started on this connection.
@@ -134,6 +135,11 @@
     /// idle connections that may be silent as well.
     std::shared_ptr<UpstreamConnection> sendWithTimeout(const Tcp::endpoint& endpoint,
         ExchangeRequest exchange, absl::Duration timeout, ExchangeCallback done);
+    /// A server that may read requests slowly: only the time limits of the exchanges end them.
+    void setSlowReader(const Tcp::endpoint& endpoint) { slowReader_ = endpoint; }
+    /// Asked before a connection is opened, with the number of those that are open; empty: no limit. If it
+    /// returns false and no idle connection can be closed, the exchange ends as NotSent.
+    std::function<bool(std::size_t openConnections)> mayOpen;
     /// Number of connections opened so far.
     std::uint64_t connectionsOpened() const { return opened_; }
     /// Closes the idle connections to an endpoint.
@@ -158,12 +164,16 @@
     /// of all older connections.
     void closeUnprovenSince(const Tcp::endpoint& endpoint, absl::Time time);
 
+    /// Closes the connection that has been idle for longest; false if there is none.
+    bool closeOldestIdle();
     /// The exchange that has received most so far; null if there is none.
     UpstreamConnection* largestExchange() const;
 
     asio::io_context& loop_;
     ByteBudget* responseBudget_;
     std::uint64_t opened_ = 0;
+    std::size_t open_ = 0; ///< Connections that are not closed.
+    Tcp::endpoint slowReader_;
     absl::flat_hash_set<UpstreamConnection*> active_; ///< Connections with an exchange in progress.
     std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(); ///< Expires with this object.
     std::map<Tcp::endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
