Crowds of clients: the tests pass, also with limits for jackdaw-node

The tests give jackdaw-node the same settings as jackdawwall (40 MB, 400 descriptors), so its bounds are stricter than before.

--- a/src/relay/process-memory.h
+++ b/src/relay/process-memory.h
@@ -7,8 +7,9 @@
 
 namespace jackdawwall::relay {
 
-/// Sets fixed thresholds for the allocator, so that freed large blocks are returned at once.
-void configureAllocator();
+/// Sets fixed thresholds for the allocator in proportion to the memory limit of the process, so that freed
+/// large blocks are returned at once.
+void configureAllocator(std::size_t memoryBytes);
 
 /// Returns the pages of freed small blocks to the system after a large release.
 class MemoryTrimmer {
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -122,7 +122,7 @@
     callerLimits.headerTimeout = state_.settings.headerTimeout;
     callerListener_.setLimits(callerLimits);
     peerListener_.setLimits(internalPortLimits());
-    configureAllocator();
+    configureAllocator(state_.settings.memoryBytes);
     portLimits_.add(callerListener_, "caller", kCallerDescriptorShare);
     portLimits_.add(peerListener_, "peer", kPeerDescriptorShare);
     const auto addReportPort = [this](std::optional<HttpListener>& listener, const char* name) {
--- a/test/crowd-fixture.h
+++ b/test/crowd-fixture.h
@@ -19,16 +19,11 @@
 
 namespace jackdawwall::relay::test {
 
-/// Limits of a node, which are the bounds of the checks.
-struct NodeLimits {
-    int memoryMegabytes = 0;
-    int descriptors = 0;
-};
+/// Limits that the node gets in its settings, which are the bounds of the checks. They are low, so that a
+/// small crowd exceeds them.
+inline constexpr int kMemoryMegabytes = 40;
+inline constexpr int kDescriptors = 400;
 
-/// Limits that the node gets in its settings. They are low, so that a small crowd exceeds them.
-inline constexpr NodeLimits kLimits { 40, 400 };
-/// Limits of jackdaw-node without such settings: the constants in its code.
-inline constexpr NodeLimits kFixedLimits { 256, 4096 };
 /// A child process; killed at the end.
 class ChildProcess {
 public:
@@ -101,8 +96,7 @@
 class CrowdedNode {
 public:
     explicit CrowdedNode(bool isUsersPlatform)
-        : limits(isUsersPlatform || hasLimitSettings() ? kLimits : kFixedLimits)
-        , isUsersPlatform_(isUsersPlatform)
+        : isUsersPlatform_(isUsersPlatform)
         , target_(loop_, respondToCrowd)
         , store_(loop_)
         , clients_(loop_)
@@ -136,8 +130,6 @@
         std::filesystem::remove_all(folder_, ignored);
     }
 
-    const NodeLimits limits;
-
     const std::string& address(Port port) const { return addresses_.at(static_cast<std::size_t>(port)); }
     const ChildProcess& process() const { return *process_; }
     asio::io_context& loop() { return loop_; }
@@ -160,19 +152,6 @@
     }
 
 private:
-    /// True if jackdaw-node has settings for its limits.
-    static bool hasLimitSettings()
-    {
-        static const bool result = [] {
-            const std::string command
-                = absl::StrCat(JACKDAW_BIN, "/jackdaw-node --check --set service=s --set dataCentre=d",
-                    " --set targetAddress=127.0.0.1:1 --set platformAddresses='[\"127.0.0.1:1\"]'",
-                    " --set memoryMegabytes=40 --set descriptors=400 > /dev/null 2>&1");
-            return std::system(command.c_str()) == 0;
-        }();
-        return result;
-    }
-
     std::string reserve()
     {
         Tcp::acceptor& acceptor = reserved_.emplace_back(loop_, Tcp::v4());
@@ -191,10 +170,8 @@
         value["peerAddress"] = address(Port::Peer);
         value["operatorAddress"] = address(Port::Operator);
         value["targetAddress"] = target_.address();
-        if (limits.memoryMegabytes == kLimits.memoryMegabytes) {
-            value["memoryMegabytes"] = kLimits.memoryMegabytes;
-            value["descriptors"] = kLimits.descriptors;
-        }
+        value["memoryMegabytes"] = kMemoryMegabytes;
+        value["descriptors"] = kDescriptors;
         return value;
     }
 
@@ -303,9 +280,9 @@
     BOOST_TEST_MESSAGE(kPortNames.at(static_cast<std::size_t>(port))
         << ", " << part.name << ": " << peakKilobytes << " KiB, " << peakDescriptors << " descriptors");
 #ifndef __SANITIZE_ADDRESS__ // The sanitizer keeps freed memory.
-    BOOST_TEST(peakKilobytes <= static_cast<std::size_t>(node.limits.memoryMegabytes) << 10);
+    BOOST_TEST(peakKilobytes <= static_cast<std::size_t>(kMemoryMegabytes) << 10);
 #endif
-    BOOST_TEST(peakDescriptors <= static_cast<std::size_t>(node.limits.descriptors));
+    BOOST_TEST(peakDescriptors <= static_cast<std::size_t>(kDescriptors));
     node.awaitAnswer(port);
     node.awaitAnswer(Port::Caller);
 }
