--- a/src/relay/lease-link.cc
+++ b/src/relay/lease-link.cc
@@ -212,6 +212,7 @@
     logEvent(LogLevel::Info, "limit-coordinator-unreachable",
         { { "coordinator", address }, { "customers", sent.size() }, { "cause", cause } });
     std::vector<std::string> customers;
+    customers.reserve(sent.size());
     for (const SentRequest& request : sent)
         customers.push_back(request.customer);
     for (const QueuedRequest& queued : std::exchange(routes_[address].queue, {}))
@@ -292,7 +293,7 @@
         = standingFor(state_.decisions.membership, customer, request.isDeputyRequest, steady);
     standing.firstSince += now - steady;
     tickCoordinator(coordinator_, condition(), now);
-    const LeaseReply reply = grantTokens(coordinator_, customer, limit, standing, request, now);
+    LeaseReply reply = grantTokens(coordinator_, customer, limit, standing, request, now);
     state_.metrics.countLimitEvent("token-granted", reply.tokens);
     return reply;
 }
