--- a/test/shared-limit-test.cc
+++ b/test/shared-limit-test.cc
@@ -48,6 +48,11 @@
             node->port.decodeConfiguration
                 = [callsPerSecond](const std::string& text) -> absl::StatusOr<Configuration> {
                 RouteTable table = *tableFromText(text);
+                // The interface of this test sets the customer instead of a key.
+                for (auto& [host, routes] : table.byHost) {
+                    for (Route& route : routes)
+                        route.isPublic = true;
+                }
                 CallerEntry customer;
                 customer.name = kCustomer;
                 customer.callsPerSecond = callsPerSecond;
