Soak and fuzzer: crowds of clients outside the limits, heads in pieces

The soak draws "crowd" as a disruption: 300 connections to one node that send a part of a message without end. The fuzzer compares the end of a head in pieces with that of the whole. Drawing one more kind of fault changes what a seed of a soak with all faults does.

The fuzzer is compiled, not run.

--- a/fuzz/decode-fuzz.cc
+++ b/fuzz/decode-fuzz.cc
@@ -1,9 +1,10 @@
 // Coverage-guided fuzzing of all decoders of external input: configurations, heartbeats, messages and calls
-// between nodes, and callers' headers. The first byte selects the decoder. Decoded values are passed to the
-// code that uses them, so that out-of-range values are detected as well.
+// between nodes, callers' headers, and heads in pieces. The first byte selects the decoder. Decoded values
+// are passed to the code that uses them, so that out-of-range values are detected as well.
 #include "decode.h"
 #include "listing.h"
 #include "node/catalogue-interface.h"
+#include "relay/head-scanner.h"
 #include "relay/hop-wire.h"
 #include "relay/peer-message.h"
 #include "wire-names.h"
@@ -14,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 
 namespace {
 
@@ -96,6 +98,21 @@
         static_cast<void>(relay::decodeResult({ relay::ExchangeStatus::Complete, *std::move(response) }));
 }
 
+/// A head that arrives in pieces has to end where a whole one ends.
+void fuzzHead(const std::string& text)
+{
+    relay::HeadScanner whole;
+    const relay::HeadScanner::Result expected = whole.scan(text);
+    relay::HeadScanner inPieces;
+    relay::HeadScanner::Result result = relay::HeadScanner::Result::Incomplete;
+    for (std::size_t size = 1; size <= text.size() && result == relay::HeadScanner::Result::Incomplete;
+         ++size)
+        result = inPieces.scan(absl::string_view(text).substr(0, size));
+    if (result != expected
+        || (expected == relay::HeadScanner::Result::Complete && inPieces.headBytes() != whole.headBytes()))
+        std::abort();
+}
+
 void fuzzCatalogue(const std::string& text)
 {
     static_cast<void>(unpackCatalogue(text));
@@ -107,7 +124,7 @@
 // NOLINTNEXTLINE(readability-identifier-naming): libFuzzer requires this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
-    constexpr std::uint8_t kDecoderCount = 7;
+    constexpr std::uint8_t kDecoderCount = 8;
     if (size == 0)
         return 0;
     const std::string text(reinterpret_cast<const char*>(data + 1), size - 1);
@@ -130,6 +147,9 @@
     case 5:
         fuzzCatalogue(text);
         break;
+    case 6:
+        fuzzHead(text);
+        break;
     default:
         fuzzListing(text);
     }
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -5,6 +5,8 @@
 #include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 
+#include <boost/asio/write.hpp>
+
 #include <array>
 #include <csignal>
 #include <random>
@@ -22,6 +24,20 @@
 constexpr absl::Duration kFaultFreeEnd = absl::Milliseconds(1500);
 constexpr absl::Duration kTargetDrain = absl::Milliseconds(2600);
 
+constexpr int kCrowdSize = 300;
+constexpr int kCrowdRepetitions = 8000;
+
+/// Writes a text again and again until the socket is closed.
+void writeEndlessly(
+    const std::shared_ptr<relay::Tcp::socket>& socket, const std::shared_ptr<const std::string>& text)
+{
+    relay::asio::async_write(
+        *socket, relay::asio::buffer(*text), [socket, text](relay::beast::error_code error, std::size_t) {
+            if (!error)
+                writeEndlessly(socket, text);
+        });
+}
+
 class FaultInjector {
 public:
     FaultInjector(relay::asio::io_context& loop, Fleet& fleet, const FaultOptions& options);
@@ -48,6 +64,7 @@
     void stopTarget(Member& member);
     void injectTargetFault(Member& member);
     void killSeveral(Member& member);
+    void sendCrowd(Member& member);
     void reload(Member& member) { member.process->signal(SIGHUP); }
     void configure(Member& /*member*/) { fleet_.configure(); }
 
@@ -65,7 +82,7 @@
     , random_(options.seed)
     , startedAt_(relay::steadyNow())
 {
-    constexpr std::array<std::pair<const char*, Injection>, 15> kFaults { { { "kill", &FaultInjector::kill },
+    constexpr std::array<std::pair<const char*, Injection>, 16> kFaults { { { "kill", &FaultInjector::kill },
         { "pause", &FaultInjector::pause }, { "planned-stop", &FaultInjector::sendPlannedStop },
         { "planned-stop", &FaultInjector::sendPlannedStop }, { "reload", &FaultInjector::reload },
         { "link", &FaultInjector::injectLinkFault }, { "silence", &FaultInjector::silenceConnections },
@@ -73,7 +90,7 @@
         { "store", &FaultInjector::injectStoreFault }, { "target", &FaultInjector::stopTarget },
         { "misdeed", &FaultInjector::injectTargetFault }, { "misdeed", &FaultInjector::injectTargetFault },
         { "misdeed", &FaultInjector::injectTargetFault }, { "configuration", &FaultInjector::configure },
-        { "herd", &FaultInjector::killSeveral } } };
+        { "crowd", &FaultInjector::sendCrowd }, { "herd", &FaultInjector::killSeveral } } };
     for (const auto& fault : kFaults) {
         if (options.only.empty() || absl::c_linear_search(options.only, fault.first))
             faults_.push_back(fault);
@@ -209,6 +226,43 @@
     runAfter(time, [&store] { store.faults = {}; });
 }
 
+/// Clients that respect no limit: each opens a connection, sends the start of a request and then one of its
+/// parts without end, and reads nothing.
+void FaultInjector::sendCrowd(Member& member)
+{
+    constexpr std::array<std::pair<const char*, const char*>, 6> kParts {
+        { { "GET / HTTP/1.1\r\n", "X: y\r\n" }, { "GET /", "x" }, { "", "\r\n" },
+            { "", "GET / HTTP/1.1\r\nHost: soak.example\r\n\r\n" },
+            { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n" },
+            { "POST / HTTP/1.1\r\nContent-Length: 50000000\r\n\r\n", "x" } }
+    };
+    const absl::Duration time = randomDuration(300, 2000);
+    fleet_.disturb(member, time);
+    const auto& [start, part] = kParts.at(random_() % kParts.size());
+    const std::string startText = start;
+    std::string text;
+    for (int count = 0; count < kCrowdRepetitions; ++count)
+        text += part;
+    const auto repeated = std::make_shared<const std::string>(std::move(text));
+    for (int index = 0; index < kCrowdSize; ++index) {
+        const auto socket = std::make_shared<relay::Tcp::socket>(loop_);
+        const auto first = std::make_shared<const std::string>(startText + *repeated);
+        socket->async_connect(relay::parseEndpoint(member.callerAddress),
+            [socket, first, repeated](relay::beast::error_code error) {
+                if (!error)
+                    relay::asio::async_write(*socket, relay::asio::buffer(*first),
+                        [socket, first, repeated](relay::beast::error_code writeError, std::size_t) {
+                            if (!writeError)
+                                writeEndlessly(socket, repeated);
+                        });
+            });
+        runAfter(time, [socket] {
+            relay::beast::error_code ignored;
+            socket->close(ignored);
+        });
+    }
+}
+
 void FaultInjector::stopTarget(Member& member)
 {
     if (random_() % 3 == 0) {
