--- a/test/shared-limit-test.cc
+++ b/test/shared-limit-test.cc
@@ -3,6 +3,8 @@
 #include "jackdawwall/coordinator-choice.h"
 #include "relay-fixture.h"
 #include "relay/lease-message.h"
+#include "store-fixture.h"
+#include "wire-names.h"
 
 #include <array>
 
@@ -190,6 +192,35 @@
 }
 
 /// Guards against messages that are taken in with missing or wrong fields.
+/// Guards against a limit of the configuration that the customer's key does not lead to.
+BOOST_AUTO_TEST_CASE(limitsTheCustomerOfAKey)
+{
+    asio::io_context loop;
+    MemoryStore store { loop };
+    ScriptedTarget target { loop, respondOk };
+    TestNode node { loop, store, "n1", "books", target.address() };
+    usePlatformDecoder(node);
+    node.settings.names.key = platform::headerNames().key;
+    store.set("configuration", "main",
+        R"({"version":5,"routes":[{"name":"read","host":"a.example","prefix":"/read/","kind":"safe",)"
+        R"("timeout_ms":3000,"priority":0,"service":"books"}],"tenants":[)"
+        R"({"name":"small","api_keys":["k1"],"rate_per_s":1,"burst":20},{"name":"large","api_keys":["k2"]}]})");
+    node.start();
+    node.awaitReady();
+    BOOST_REQUIRE_EQUAL(node.heartbeat("/ready/t1/100/1"), 200U);
+    const auto call = [&](const char* key) {
+        Request request = callerRequest(http::verb::get, "/read/1", "r");
+        request.set("X-Api-Key", key);
+        return node.sendAndWait(node.settings.callerAddress, request).response.result_int();
+    };
+    bool isMet = false;
+    runUntil(loop, [&] { return isMet = isMet || call("k1") == 200; });
+    isMet = false;
+    runUntil(loop, [&] { return isMet = isMet || call("k1") == 429; });
+    BOOST_TEST(call("k2") == 200U);
+    BOOST_TEST(call("k3") == 401U);
+}
+
 BOOST_AUTO_TEST_CASE(refusesUnreadableLeaseRequests)
 {
     const std::string entry
