--- a/fuzz/decode-fuzz.cc
+++ b/fuzz/decode-fuzz.cc
@@ -1,9 +1,10 @@
 // Coverage-guided fuzzing of all decoders of external input: configurations, heartbeats, messages and calls
-// between nodes, and callers' headers. The first byte selects the decoder. Decoded values are passed to the
-// code that uses them, so that out-of-range values are detected as well.
+// between nodes, callers' headers, and heads in pieces. The first byte selects the decoder. Decoded values
+// are passed to the code that uses them, so that out-of-range values are detected as well.
 #include "decode.h"
 #include "listing.h"
 #include "node/catalogue-interface.h"
+#include "relay/head-scanner.h"
 #include "relay/hop-wire.h"
 #include "relay/peer-message.h"
 #include "wire-names.h"
@@ -14,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 
 namespace {
 
@@ -23,13 +25,19 @@
 
 void fuzzConfiguration(const std::string& text)
 {
-    const absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
-    if (!table.ok())
+    const absl::StatusOr<platform::DecodedConfiguration> decoded = platform::decodeConfiguration(text);
+    if (!decoded.ok())
         return;
+    const RouteTable& table = decoded->table;
+    if (!decoded->peerDocument.empty()) {
+        const auto received = platform::decodeConfiguration(decoded->peerDocument);
+        if (!received.ok() || received->table.customerKeys != table.customerKeys)
+            std::abort(); // Other nodes would not have the same customers.
+    }
     SplitState split;
-    for (const auto& [host, routes] : table->byHost) {
+    for (const auto& [host, routes] : table.byHost) {
         for (const Route& route : routes) {
-            static_cast<void>(matchRoute(*table, host, route.prefix));
+            static_cast<void>(matchRoute(table, host, route.prefix));
             static_cast<void>(chooseService(split, route));
         }
     }
@@ -78,8 +86,24 @@
     return parser.release();
 }
 
+/// A head that arrives in pieces has to end where a whole one ends.
+void fuzzHead(const std::string& text)
+{
+    relay::HeadScanner whole;
+    const relay::HeadScanner::Result expected = whole.scan(text);
+    relay::HeadScanner inPieces;
+    relay::HeadScanner::Result result = relay::HeadScanner::Result::Incomplete;
+    for (std::size_t size = 1; size <= text.size() && result == relay::HeadScanner::Result::Incomplete;
+         ++size)
+        result = inPieces.scan(absl::string_view(text).substr(0, size));
+    if (result != expected
+        || (expected == relay::HeadScanner::Result::Complete && inPieces.headBytes() != whole.headBytes()))
+        std::abort();
+}
+
 void fuzzCall(const std::string& text)
 {
+    fuzzHead(text);
     const auto request = parseMessage<true>(text);
     if (!request)
         return;
--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -37,6 +37,9 @@
 struct CallContext {
     std::string caller; ///< Service that the calling process belongs to, or the catalogue's caller.
     std::string customer; ///< Customer whose key the request carried; empty without one.
+    /// The customer is that of the run that made this nested call. It counts for fairness and logs, but the
+    /// target of the nested call is not told.
+    bool isCustomerOfRun = false;
     std::string kind;
     std::string requestId;
     Priority priority = Priority::Browse;
@@ -56,6 +59,7 @@
     std::uint32_t inFlight = 0;
     std::uint32_t waiting = 0;
     bool hasDownstreamFailure = false;
+    std::optional<GateLoad> load {}; ///< Only with Balance::Speed.
 };
 
 /// A call that the local target is processing.
@@ -125,18 +129,24 @@
     bool isNested = false; ///< Routed: made by the local target.
     absl::Duration latencyObjective; ///< 0 when there is none.
     absl::Time callerDeadline = absl::InfiniteFuture(); ///< The caller stops waiting at this time.
+    /// Key of the customer, to check it again when the configuration changes; never sent or logged. Empty
+    /// without one.
+    std::string key;
+    RouteVersion keyVersion = 0; ///< Version of the configuration in which the key was last found.
 };
 
 /// A request that was matched to a route.
 struct RoutedRequest {
     std::string service; ///< Chosen from the services of the route.
     std::string caller;
-    const CallerEntry* customer = nullptr; ///< Customer whose key the request carries; null without one.
+    /// Customer whose key the request carries, or of the run that makes a nested call; null without one.
+    const CallerEntry* customer = nullptr;
     std::string requestId;
     absl::Duration callerTimeout; ///< How long the caller waits.
     std::uint64_t bodyBytes = 0;
     bool isNested = false; ///< The local target makes the call.
-    /// Class of the run that makes the call, if it is known; used when it is more urgent than the route.
+    /// Class of the run that makes the call, if it is known; used when it is more urgent than the route,
+    /// unless the customer has a priority.
     std::optional<Priority> parentPriority;
 };
 
@@ -197,6 +207,9 @@
 void closeCall(
     NodeDecisions& decisions, const OutboundCall& call, const AttemptResult& result, absl::Time now);
 
+/// Key of fairness between callers: identifies the customer or, without one, the calling service.
+std::uint64_t fairnessKey(const CallContext& context);
+
 /// Converts the metadata of a call to the form that admission control takes.
 OfferedCall makeOfferedCall(const CallContext& context, CallId id, std::uint64_t bodyBytes);
 
@@ -207,6 +220,10 @@
 /// the feedback and can no longer be used by this node.
 CallFeedback feedbackFor(NodeDecisions& decisions, const CallContext& context, CallToken token);
 
+/// Load of the local target's gate, as reported with the response to a call that the gate held for `held`;
+/// empty unless Balance::Speed is set.
+std::optional<GateLoad> gateLoad(const NodeDecisions& decisions, absl::Duration held);
+
 /// Ends an inbound call whose response was forwarded or lost. Returns the time that the target spent waiting
 /// for other services.
 absl::Duration closeInbound(NodeDecisions& decisions, CallToken token, absl::Time now);
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -1,5 +1,7 @@
 #include "jackdawwall/call-flow.h"
 
+#include "jackdawwall/balanced-subset.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -110,7 +112,9 @@
     attempt.delegated = delegateAllowance(call.allowance);
     call.context.allowance = attempt.delegated;
     call.tried.push_back(attempt.address);
-    recordAttemptStart(decisions.routing, attempt.address);
+    recordAttemptStart(decisions.routing, attempt.address, now);
+    const bool isLocal = candidates[static_cast<std::size_t>(index)].isLocal;
+    ++(isLocal ? decisions.routing.localStarts : decisions.routing.remoteStarts);
     return attempt;
 }
 
@@ -140,6 +144,21 @@
     return right.outcome >= left.outcome ? right : left;
 }
 
+/// The subset of this node when data centres may differ (Balance::Speed).
+std::vector<Candidate> balancedCandidates(const NodeDecisions& decisions, const std::string& service)
+{
+    const MembershipState& membership = decisions.membership;
+    SubsetOwner owner { membership.self, decisions.dataCentre, decisions.routing.options.subsetSize, {} };
+    for (const auto& [address, record] : membership.members) {
+        if (record.member.status <= MemberStatus::Suspect)
+            ++owner.callers[record.member.dataCentre];
+    }
+    std::vector<SubsetMember> members;
+    for (const Member& member : routableMembers(membership, service))
+        members.push_back({ member.peerAddress, member.dataCentre });
+    return chooseBalancedSubset(members, owner);
+}
+
 } // namespace
 
 NodeDecisions makeNodeDecisions(const Member& self, std::uint64_t seed, absl::Time now)
@@ -169,6 +188,8 @@
     const auto found = decisions.subsets.find(service);
     if (found != decisions.subsets.end())
         return found->second;
+    if (decisions.routing.options.balance == Balance::Speed)
+        return decisions.subsets[service] = balancedCandidates(decisions, service);
     std::vector<Candidate> all;
     for (const Member& member : routableMembers(decisions.membership, service))
         all.push_back({ member.peerAddress, member.dataCentre == decisions.dataCentre });
@@ -213,6 +234,12 @@
     context.requestId = request.requestId;
     // A nested call is never less urgent than its route: work has already been done for it.
     context.priority = std::min(route.priority, request.parentPriority.value_or(route.priority));
+    if (const CallerEntry* customer = request.customer) {
+        context.customer = customer->name;
+        context.isCustomerOfRun = request.isNested;
+        context.weight = static_cast<std::uint32_t>(std::max(1.0, customer->weight));
+        context.priority = customer->priority.value_or(context.priority);
+    }
     context.isIdempotent = route.isIdempotent;
     context.deadline = now + std::min(request.callerTimeout, route.timeout);
     return call;
@@ -255,7 +282,7 @@
 void recordCancelledAttempt(NodeDecisions& decisions, const CallAttempt& attempt, absl::Time now)
 {
     // The elapsed time is a lower bound of the latency.
-    recordAttemptEnd(decisions.routing, attempt.address, { true, false, now - attempt.at, 0 }, now);
+    recordAttemptEnd(decisions.routing, attempt.address, { true, false, now - attempt.at, 0, {} }, now);
 }
 
 void recordReport(NodeDecisions& decisions, OutboundCall& call, const CallAttempt& attempt,
@@ -265,7 +292,7 @@
         && (!call.isRouted || report.result.outcome != Outcome::Unknown);
     const std::uint32_t waiting = report.feedback ? report.feedback->waiting : 0;
     const AttemptObservation observation { hasRun, isTargetAtFault(call, report.result), now - attempt.at,
-        waiting };
+        waiting, report.feedback ? report.feedback->load : std::nullopt };
     recordAttemptEnd(decisions.routing, attempt.address, observation, now);
     call.arrivals += report.hasArrived ? 1 : 0;
     call.hasLastAttemptArrived = report.hasArrived;
@@ -312,12 +339,19 @@
         parent.downstreamTime += now - parent.childrenPendingSince;
 }
 
+std::uint64_t fairnessKey(const CallContext& context)
+{
+    // Mixed, so that a customer never shares the key of a service of the same name.
+    return context.customer.empty() ? stableHash(context.caller) : mixBits(stableHash(context.customer));
+}
+
 OfferedCall makeOfferedCall(const CallContext& context, CallId id, std::uint64_t bodyBytes)
 {
     OfferedCall offer;
     offer.id = id;
     offer.priority = context.priority;
-    offer.caller = stableHash(context.caller);
+    offer.caller = fairnessKey(context);
+    offer.hasCustomer = !context.customer.empty();
     offer.weight = context.weight;
     offer.rank = context.rank;
     offer.upstreamFraction = context.upstreamFraction;
@@ -334,7 +368,7 @@
     InboundCall inbound;
     inbound.context = context;
     const std::uint32_t fraction
-        = admittedFraction(decisions.admission, context.priority, stableHash(context.caller));
+        = admittedFraction(decisions.admission, context.priority, fairnessKey(context));
     inbound.context.upstreamFraction
         = std::min(context.upstreamFraction, std::max(fraction, context.rank + 1));
     inbound.allowance.remaining = context.allowance;
@@ -346,8 +380,7 @@
 {
     CallFeedback feedback;
     feedback.unusedAllowance = context.allowance;
-    feedback.admitFraction
-        = admittedFraction(decisions.admission, context.priority, stableHash(context.caller));
+    feedback.admitFraction = admittedFraction(decisions.admission, context.priority, fairnessKey(context));
     feedback.inFlight = static_cast<std::uint32_t>(inFlight(decisions.admission));
     feedback.waiting = static_cast<std::uint32_t>(decisions.admission.waiting.size());
     const auto found = decisions.inbound.find(token);
@@ -361,6 +394,24 @@
     return feedback;
 }
 
+std::optional<GateLoad> gateLoad(const NodeDecisions& decisions, absl::Duration held)
+{
+    if (decisions.routing.options.balance != Balance::Speed)
+        return std::nullopt;
+    const auto microseconds = [](double seconds) {
+        constexpr double kMaxMicroseconds = 4e9;
+        return static_cast<std::uint32_t>(std::clamp(seconds * 1e6, 0.0, kMaxMicroseconds));
+    };
+    const AdmissionState& admission = decisions.admission;
+    GateLoad load;
+    load.running = static_cast<std::uint32_t>(inFlight(admission));
+    load.limit = static_cast<std::uint32_t>(steadyLimit(admission.limit));
+    load.waiting = static_cast<std::uint32_t>(admission.waiting.size());
+    load.meanMicroseconds = microseconds(admission.meanTime);
+    load.heldMicroseconds = microseconds(absl::ToDoubleSeconds(held));
+    return load;
+}
+
 absl::Duration closeInbound(NodeDecisions& decisions, CallToken token, absl::Time now)
 {
     const auto found = decisions.inbound.find(token);
--- a/src/parent-run.cc
+++ b/src/parent-run.cc
@@ -1,6 +1,7 @@
 #include "jackdawwall/parent-run.h"
 
 #include <iterator>
+#include <utility>
 
 namespace jackdawwall {
 namespace {
@@ -8,7 +9,6 @@
 /// The limit of a nested call lies between these distances from that of its run: it is rounded down to
 /// milliseconds, and is extended by the time that the request and the call are in transit.
 constexpr absl::Duration kMaxRounding = absl::Milliseconds(2);
-constexpr absl::Duration kMaxTransit = absl::Milliseconds(6);
 /// Sum of both, so that the ranges of two runs do not overlap.
 constexpr absl::Duration kSpacing = absl::Milliseconds(8);
 /// Largest reduction of a run's time limit.
@@ -16,14 +16,14 @@
 
 } // namespace
 
-std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, Priority priority, absl::Time now)
+std::optional<absl::Time> addRun(ParentRuns& runs, absl::Time desired, ParentRun run, absl::Time now)
 {
     const absl::Time earliest = desired - kMaxReduction;
     absl::Time limit = now + absl::Floor(desired - now, absl::Milliseconds(1));
     while (limit > earliest) {
         const auto next = runs.byLimit.upper_bound(limit - kSpacing);
         if (next == runs.byLimit.end() || next->first >= limit + kSpacing) {
-            runs.byLimit.emplace(limit, priority);
+            runs.byLimit.emplace(limit, std::move(run));
             return limit;
         }
         limit = now + absl::Floor(next->first - kSpacing - now, absl::Milliseconds(1));
@@ -36,20 +36,20 @@
     runs.byLimit.erase(limit);
 }
 
-bool mayHaveParent(const ParentRuns& runs, absl::Time limit)
+bool mayHaveParent(const ParentRuns& runs, absl::Time limit, absl::Duration maxTransit)
 {
-    return !runs.byLimit.empty() && limit - runs.byLimit.rbegin()->first <= kMaxTransit;
+    return !runs.byLimit.empty() && limit - runs.byLimit.rbegin()->first <= maxTransit;
 }
 
-std::optional<Priority> parentPriority(const ParentRuns& runs, absl::Time limit)
+const ParentRun* findParentRun(const ParentRuns& runs, absl::Time limit)
 {
     auto after = runs.byLimit.upper_bound(limit + kMaxRounding);
     if (after == runs.byLimit.begin())
-        return std::nullopt;
+        return nullptr;
     const auto run = std::prev(after);
-    if (limit - run->first > kMaxTransit)
-        return std::nullopt;
-    return run->second;
+    if (limit - run->first > kMaxNestedTransit)
+        return nullptr;
+    return &run->second;
 }
 
 } // namespace jackdawwall
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -16,6 +16,7 @@
 /// Number of fields in the chain header and in the feedback header.
 constexpr std::size_t kChainFieldCount = 5;
 constexpr std::size_t kFeedbackFieldCount = 4;
+constexpr std::size_t kLoadFieldCount = 5;
 
 /// Parses integers separated by commas; empty for any other text.
 std::vector<std::uint32_t> parseNumbers(absl::string_view text)
@@ -60,6 +61,9 @@
             head, kLatencyObjectiveHeader, absl::StrCat(absl::ToInt64Milliseconds(call.latencyObjective)));
     setHeader(head, kArrivalsHeader, absl::StrCat(call.arrivals));
     setHeader(head, kCallerHeader, context.caller);
+    removeHeaders(head, { kCustomerHeader, kRunCustomerHeader }); // Of the client.
+    if (!context.customer.empty())
+        setHeader(head, context.isCustomerOfRun ? kRunCustomerHeader : kCustomerHeader, context.customer);
     if (hasNonDefaultChain(context))
         setHeader(head, kChainHeader,
             absl::StrJoin(
@@ -78,6 +82,9 @@
     CallContext& context = hop.call.context;
     context.requestId = std::string(headerValue(request, names.requestId));
     context.caller = std::string(headerValue(request, kCallerHeader));
+    context.isCustomerOfRun = !headerValue(request, kRunCustomerHeader).empty();
+    context.customer
+        = std::string(headerValue(request, context.isCustomerOfRun ? kRunCustomerHeader : kCustomerHeader));
     context.kind = std::string(headerValue(request, kRouteHeader));
     context.priority = static_cast<Priority>(
         std::clamp<std::int64_t>(integerHeader(request, kPriorityHeader, kMaxPriority), 0, kMaxPriority));
@@ -95,7 +102,8 @@
     hop.call.latencyObjective = absl::Milliseconds(integerHeader(request, kLatencyObjectiveHeader, 0));
     removeHeaders(request,
         { kServiceHeader, kRouteHeader, kPriorityHeader, kIdempotentHeader, kRemainingTimeHeader,
-            kLatencyObjectiveHeader, kArrivalsHeader, kCallerHeader, kChainHeader });
+            kLatencyObjectiveHeader, kArrivalsHeader, kCallerHeader, kCustomerHeader, kRunCustomerHeader,
+            kChainHeader });
     hop.call.request = std::make_shared<const Request>(std::move(request));
     return hop;
 }
@@ -116,6 +124,11 @@
             absl::StrJoin({ feedback.unusedAllowance, feedback.admitFraction, feedback.inFlight,
                               feedback.hasDownstreamFailure ? 1U : 0U },
                 ","));
+    if (feedback.load)
+        setHeader(response, kLoadHeader,
+            absl::StrJoin({ feedback.load->running, feedback.load->limit, feedback.load->waiting,
+                              feedback.load->meanMicroseconds, feedback.load->heldMicroseconds },
+                ","));
     return response;
 }
 
@@ -146,7 +159,11 @@
         decoded.feedback.inFlight = numbers[2];
         decoded.feedback.hasDownstreamFailure = numbers[3] != 0;
     }
-    removeHeaders(result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader });
+    const std::vector<std::uint32_t> load = parseNumbers(headerValue(result.response, kLoadHeader));
+    if (load.size() == kLoadFieldCount)
+        decoded.feedback.load = GateLoad { load[0], load[1], load[2], load[3], load[4] };
+    removeHeaders(
+        result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader, kLoadHeader });
     decoded.response = std::move(result.response);
     decoded.reservation = std::move(result.reservation);
     return decoded;
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -33,12 +33,19 @@
 /// Number of targets that the request reached, or may have reached, before.
 inline constexpr char kArrivalsHeader[] = "Jackdaw-Hop-Arrivals";
 inline constexpr char kCallerHeader[] = "Jackdaw-Hop-Caller";
+/// At most one of the two is sent: the customer of the request, which the target is told, or that of the run
+/// that made a nested call, which it is not told.
 inline constexpr char kCustomerHeader[] = "Jackdaw-Hop-Customer";
+inline constexpr char kRunCustomerHeader[] = "Jackdaw-Hop-Run-Customer";
 inline constexpr char kChainHeader[] = "Jackdaw-Hop-Chain"; ///< Fields passed down the whole call chain.
 inline constexpr char kEndHeader[] = "Jackdaw-Hop-End"; ///< On responses: how the call ended at the node.
 inline constexpr char kReasonHeader[] = "Jackdaw-Hop-Reason";
 inline constexpr char kWaitingHeader[] = "Jackdaw-Hop-Waiting"; ///< Number of calls queued at the node.
 inline constexpr char kFeedbackHeader[] = "Jackdaw-Hop-Feedback"; ///< Fields passed back up the call chain.
+/// Running calls, limit, queued calls, mean call time (us) of the gate and the time (us) that it held the
+/// call; only with the setting `balance`.
+inline constexpr char kLoadHeader[] = "Jackdaw-Hop-Load";
 inline constexpr char kMembershipUpdateHeader[] = "Jackdaw-Hop-News"; ///< Marks a membership message.
+inline constexpr char kLeaseHeader[] = "Jackdaw-Hop-Lease"; ///< Marks lease requests of a node.
 
 } // namespace jackdawwall::relay
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -17,6 +17,8 @@
 
 namespace jackdawwall::relay {
 
+class LeaseLink;
+
 /// The applied configuration and the document that is sent to other nodes. An interface uses either `table`
 /// or `catalogue`.
 struct Configuration {
@@ -33,14 +35,16 @@
 
     asio::io_context& loop;
     RelaySettings settings;
-    ByteBudget bufferedBodies; ///< Of requests.
-    ByteBudget bufferedResponses;
+    ByteBudget held; ///< All that is held for callers and other nodes.
+    ByteBudget heldForCallers; ///< The part of it that the connections of callers hold.
+    ByteBudget bufferedResponses; ///< The part of it that is bodies of responses.
     UpstreamPool pool;
     Metrics metrics;
     RequestLog requestLog;
     NodeDecisions decisions;
     TargetGate gate;
     SplitState split;
+    LeaseLink* leases = nullptr; ///< Rate limits of customers; set by the node.
     Configuration configuration;
     TargetState target;
     bool canReachStore = true; ///< False after repeated failures of calls to the store.
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -97,6 +97,7 @@
         run(id);
     else if (decision.verdict == Verdict::Refuse)
         refuse(id, decision.reason);
+    apply({ {}, decision.refused });
     return id;
 }
 
@@ -145,12 +146,14 @@
             setHeader(head, name, value);
     };
     if (names.parent.empty())
-        pending.runLimit = addRun(runs_, context.deadline, context.priority, now);
+        pending.runLimit = addRun(runs_, context.deadline, { context.priority, context.customer }, now);
     const std::int64_t remaining
         = absl::ToInt64Milliseconds(pending.runLimit.value_or(context.deadline) - now);
     set(names.remainingTime, absl::StrCat(std::max<std::int64_t>(1, remaining)));
     set(names.expectTarget, target_.lifetime.id);
     set(names.caller, context.caller);
+    if (!context.customer.empty() && !context.isCustomerOfRun)
+        set(names.customer, context.customer);
     set(names.kind, context.kind);
     set(names.parent, absl::StrCat(absl::Hex(pending.token, absl::kZeroPad16)));
     set(names.node, options_.nodeAddress);
@@ -224,9 +227,10 @@
     }
     log_.record("target-call", pending->call.context.requestId, classified.status == GateStatus::Answered,
         { { "request", pending->call.context.requestId }, { "route", pending->call.context.kind },
-            { "target", target_.lifetime.id }, { "end", toText(classified.status) },
-            { "reason", jackdawwall::toText(classified.reason) }, { "status", httpStatus },
-            { "arrivals_before", pending->call.arrivals }, { "running", running() }, { "waiting", waiting() },
+            { "customer", pending->call.context.customer }, { "target", target_.lifetime.id },
+            { "end", toText(classified.status) }, { "reason", jackdawwall::toText(classified.reason) },
+            { "status", httpStatus }, { "arrivals_before", pending->call.arrivals }, { "running", running() },
+            { "waiting", waiting() },
             { "after_ms", absl::ToInt64Milliseconds(steadyNow() - pending->offeredAt) } });
     finish(id, std::move(classified), runResult);
 }
@@ -238,6 +242,7 @@
     result.feedback = feedback(*pending);
     const QueueUpdate update = finishCall(decisions_.admission, id, runResult, endRun(*pending), steadyNow());
     result.feedback.waiting = static_cast<std::uint32_t>(waiting());
+    result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
     pending->done(std::move(result));
     apply(update);
 }
@@ -254,14 +259,22 @@
         { { "request", pending->call.context.requestId }, { "route", pending->call.context.kind },
             { "reason", jackdawwall::toText(reason) }, { "phase", static_cast<int>(target_.phase) },
             { "running", running() }, { "waiting", waiting() },
+            { "customer", pending->call.context.customer },
+            { "customer_waiting_ms",
+                absl::ToInt64Milliseconds(waitingWork(decisions_.admission, pending->call.context.priority,
+                    fairnessKey(pending->call.context))) },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
-    pending->done({ GateStatus::Refused, reason, {}, feedback(*pending) });
+    GateResult result { GateStatus::Refused, reason, {}, feedback(*pending) };
+    result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
+    pending->done(std::move(result));
 }
 
 /// Counts the gate's decision on an offered call. The caller's node counts the outcome at the target.
 void TargetGate::countOffer(const PendingCall& pending, Outcome outcome, Reason reason)
 {
     metrics_.countOffer({ pending.call.context.priority, outcome, reason });
+    if (!pending.call.context.customer.empty())
+        metrics_.countCustomerOffer(pending.call.context.customer, outcome == Outcome::NotRun);
 }
 
 void TargetGate::apply(const QueueUpdate& update)
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -72,6 +72,8 @@
     /// Withdraws a queued call, or closes a running call's connection to the target. Its callback isn't
     /// called.
     void cancel(CallId id);
+    /// True while an offered call is queued.
+    bool isWaiting(CallId id) const { return decisions_.admission.waiting.contains(id); }
     /// Applies the state that the target reports. Queued calls are refused when the target stops serving.
     void updateTarget(const TargetState& target);
     /// Number of nodes with targets of the same service, including this one.
@@ -84,16 +86,14 @@
     void tick(absl::Time now);
     /// True if the target may have made a call with this time limit for one of its runs. Other callers on the
     /// target's host have the same address.
-    bool mayBeNested(const asio::ip::address& caller, absl::Time timeLimit) const
+    bool mayBeNested(const asio::ip::address& caller, absl::Time timeLimit,
+        absl::Duration maxTransit = kMaxNestedTransit) const
     {
-        return caller == endpoint_.address() && mayHaveParent(runs_, timeLimit);
-    }
-    /// Class of the run that makes a nested call with this time limit; empty when the call has a shorter
-    /// limit of its own.
-    std::optional<Priority> parentPriorityOf(absl::Time timeLimit) const
-    {
-        return parentPriority(runs_, timeLimit);
+        return caller == endpoint_.address() && mayHaveParent(runs_, timeLimit, maxTransit);
     }
+    /// The run that makes a nested call with this time limit; null when the call has a shorter limit of its
+    /// own. Valid until the next call is offered or ends.
+    const ParentRun* parentRunOf(absl::Time timeLimit) const { return findParentRun(runs_, timeLimit); }
     int waiting() const { return static_cast<int>(decisions_.admission.waiting.size()); }
     int running() const { return inFlight(decisions_.admission); }
 
--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -138,16 +138,22 @@
     std::vector<Watch> watches_;
 };
 
+/// Makes a node use the platform's decoder of configurations instead of that of the tests.
+inline void usePlatformDecoder(TestNode& node)
+{
+    node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
+        absl::StatusOr<platform::DecodedConfiguration> decoded = platform::decodeConfiguration(text);
+        if (!decoded.ok())
+            return decoded.status();
+        return routedConfiguration(std::move(decoded->table), std::move(decoded->peerDocument));
+    };
+}
+
 /// Makes a node use the platform's store and decoder instead of those of the tests.
 inline void usePlatformStore(TestNode& node, platform::ObjectStore& client)
 {
     node.port.store = client.port();
-    node.port.decodeConfiguration = [](const std::string& text) -> absl::StatusOr<Configuration> {
-        absl::StatusOr<RouteTable> table = platform::decodeConfiguration(text);
-        if (!table.ok())
-            return table.status();
-        return routedConfiguration(*std::move(table));
-    };
+    usePlatformDecoder(node);
 }
 
 } // namespace jackdawwall::relay::test
