--- a/src/relay/http-session-limits.cc
+++ b/src/relay/http-session-limits.cc
@@ -84,8 +84,8 @@
         listener_.onClosed({ reason, load().heldBytes, remoteAddress_ });
 }
 
-/// Releases what a closed connection holds. Its reservations must not outlive the listener, as the handlers of
-/// pending operations may do.
+/// Releases what a closed connection holds. Its reservations must not outlive the listener, as the handlers
+/// of pending operations may do.
 void HttpSession::release()
 {
     parser_.reset();
