Shared limit: only members with a serving target coordinate; slack of the limit

Cause: a node that joins became the coordinator of some customers at once, but grants nothing in its first second, so their requests got 503 for a second at each start of a node. Besides, tokens that are leased to nodes without demand were missing elsewhere, so small customers were refused below their limit. Change: members whose target does not serve yet, or no longer, are not chosen.

--- a/include/jackdawwall/coordinator-choice.h
+++ b/include/jackdawwall/coordinator-choice.h
@@ -13,7 +13,8 @@
 
 namespace jackdawwall {
 
-/// Peer addresses of the alive members that come first and second by rendezvous hash; empty if there is none.
+/// Peer addresses of the alive members with a serving target that come first and second by rendezvous hash;
+/// of all alive members if none has one. Empty if there is none.
 struct CoordinatorChoice {
     std::string first;
     std::string deputy;
--- a/include/jackdawwall/token-coordinator.h
+++ b/include/jackdawwall/token-coordinator.h
@@ -19,6 +19,7 @@
 struct TokenLimit {
     double callsPerSecond = 0; ///< 0: no limit.
     double burst = 0;
+    double slack = 0; ///< Calls by which all nodes together may exceed the limit in a short time.
 };
 
 enum class CoordinatorRole : std::uint8_t {
@@ -129,7 +130,9 @@
 LeaseReply grantTokens(CoordinatorState& state, const std::string& customer, const TokenLimit& limit,
     const CoordinatorStanding& standing, const LeaseRequest& request, absl::Time now);
 
-/// Burst that is enforced; a smaller one could not be used at the full rate.
+/// Burst that is enforced; a smaller one could not be used at the full rate. It includes half of the slack,
+/// in place of tokens that are leased to nodes where the customer sends nothing for the moment; the other
+/// half covers coordinators that overlap.
 double effectiveBurst(const TokenLimit& limit);
 
 } // namespace jackdawwall
--- a/src/coordinator-choice.cc
+++ b/src/coordinator-choice.cc
@@ -21,6 +21,13 @@
     return mixBits(customerHash ^ mixBits(stableHash(address)));
 }
 
+/// A member whose target doesn't serve is starting or about to leave, and would coordinate for a short time
+/// only: each handover costs the customer a part of its limit.
+bool isEligible(const Member& member)
+{
+    return member.status == MemberStatus::Alive && member.isServing;
+}
+
 struct RankedMembers {
     const std::string* first = nullptr;
     const std::string* deputy = nullptr;
@@ -28,11 +35,14 @@
     std::uint64_t deputyWeight = 0;
 };
 
+/// Ranks the eligible members, or all that are alive if none is eligible.
 RankedMembers rankMembers(const MembershipState& state, std::uint64_t customerHash)
 {
+    const bool hasEligible = std::any_of(state.members.begin(), state.members.end(),
+        [](const auto& item) { return isEligible(item.second.member); });
     RankedMembers ranked;
     for (const auto& [address, record] : state.members) {
-        if (record.member.status != MemberStatus::Alive)
+        if (hasEligible ? !isEligible(record.member) : record.member.status != MemberStatus::Alive)
             continue;
         const std::uint64_t weight = rendezvousWeight(customerHash, address);
         if (ranked.first == nullptr || weight > ranked.firstWeight) {
@@ -64,12 +74,12 @@
     double missing = 0;
     for (const auto& [address, record] : state.members) {
         const MemberStatus status = record.member.status;
-        if (status == MemberStatus::Alive) {
-            ++alive;
+        const bool isAlive = status == MemberStatus::Alive;
+        alive += isAlive ? 1 : 0;
+        if (isAlive && record.member.isServing)
             continue;
-        }
         const bool isBefore = rendezvousWeight(customerHash, address) > ownWeight;
-        if (status == MemberStatus::Leaving) {
+        if (isAlive || status == MemberStatus::Leaving) {
             if (isBefore)
                 standing.firstSince = std::max(standing.firstSince, record.statusSince);
             continue;
--- a/src/relay/lease-link.cc
+++ b/src/relay/lease-link.cc
@@ -63,7 +63,7 @@
     const auto found = state_.configuration.table->customers.find(customer);
     if (found == state_.configuration.table->customers.end())
         return {};
-    return { found->second.callsPerSecond, found->second.burst };
+    return { found->second.callsPerSecond, found->second.burst, state_.settings.limitSlack };
 }
 
 bool LeaseLink::hasLimits() const
--- a/src/relay/relay-settings.cc
+++ b/src/relay/relay-settings.cc
@@ -59,6 +59,7 @@
         = reader.number("repeatExtra", arrivalBudget.extraRetries, 0, kMaxArrivalBudget);
     arrivalBudget.window = absl::Seconds(reader.number("repeatWindowSeconds", 10, 0.1, 3600));
     settings.arrivalBudget = arrivalBudget;
+    settings.limitSlack = reader.number("limitSlack", settings.limitSlack, 0, kMaxArrivalBudget);
     const std::string balance = reader.text("balance", "");
     if (balance == "speed")
         settings.routing.balance = Balance::Speed;
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -49,6 +49,8 @@
     absl::Duration stopTime = absl::Seconds(6); ///< From the start of a stop to its forced end.
     /// Limit on repeated arrivals at a service, over all nodes.
     std::optional<ArrivalBudgetOptions> arrivalBudget;
+    double limitSlack
+        = 0; ///< Calls by which a customer may exceed its limit, over all nodes; see TokenLimit.
     AdmissionOptions admission;
     RoutingOptions routing;
     HeaderNames names;
--- a/src/relay/relay-state.cc
+++ b/src/relay/relay-state.cc
@@ -65,6 +65,7 @@
     settings.configurationApplyTime = newSettings.configurationApplyTime;
     settings.stopTime = newSettings.stopTime;
     settings.arrivalBudget = newSettings.arrivalBudget;
+    settings.limitSlack = newSettings.limitSlack;
     state.held.setLimit(memoryShare(settings, kHeldShare));
     state.heldForCallers.setLimit(memoryShare(settings, kHeldShare * kCallerHeldShare));
     state.bufferedResponses.setLimit(memoryShare(settings, kBufferedBodiesShare));
--- a/src/token-coordinator.cc
+++ b/src/token-coordinator.cc
@@ -14,6 +14,7 @@
 /// Smallest burst. A few requests that arrive together at different nodes each block a token for a short
 /// lease; with b = 1, a customer with a few calls per second would be refused below its rate.
 constexpr double kMinBurst = 5;
+constexpr double kBurstSlackShare = 0.5;
 /// Level of a new responsibility, as share of the burst: within the tolerated excess of a tenth.
 constexpr double kInitialLevelShare = 0.1;
 /// A new first may overlap with its predecessor until all views agree, so it begins at half the rate.
@@ -163,7 +164,8 @@
 
 double effectiveBurst(const TokenLimit& limit)
 {
-    return std::max({ limit.burst, limit.callsPerSecond * kMinBurstSeconds, kMinBurst });
+    return std::max(
+        { limit.burst + kBurstSlackShare * limit.slack, limit.callsPerSecond * kMinBurstSeconds, kMinBurst });
 }
 
 CoordinatorState makeCoordinator(std::uint64_t epoch, absl::Time now)
--- a/test/coordinator-choice-test.cc
+++ b/test/coordinator-choice-test.cc
@@ -88,6 +88,27 @@
     });
 }
 
+/// Guards against a node that coordinates for the short time between its start and its target's first report,
+/// or while its target leaves, and against a successor that starts with a full bucket.
+BOOST_AUTO_TEST_CASE(aMemberWithoutServingTargetIsNotChosen)
+{
+    const CoordinatorChoice choice = chooseCoordinators(makeView(addressOf(0)), "acme");
+    MembershipState view = makeView(choice.deputy);
+    Member first = view.members.at(choice.first).member;
+    first.isServing = false;
+    ++first.incarnation;
+    const absl::Time changedAt = kStart + absl::Seconds(5);
+    mergeMembers(view, { first }, changedAt);
+    BOOST_TEST(chooseCoordinators(view, "acme").first == choice.deputy);
+    const CoordinatorStanding standing = standingFor(view, "acme", false, changedAt + absl::Seconds(1));
+    BOOST_TEST((standing.role == CoordinatorRole::First));
+    BOOST_TEST((standing.firstSince == changedAt));
+    BOOST_TEST(standing.reachableShare == 1);
+    for (auto& [address, record] : view.members)
+        record.member.isServing = false;
+    BOOST_TEST(chooseCoordinators(view, "acme").first == choice.first);
+}
+
 BOOST_AUTO_TEST_CASE(asksTheDeputyWhenTheFirstDoesNotRespond)
 {
     const CoordinatorChoice choice { "a", "b" };
--- a/test/token-coordinator-test.cc
+++ b/test/token-coordinator-test.cc
@@ -231,6 +231,7 @@
             options.nodes = static_cast<std::size_t>(pick({ 3, 5, 8, 16, 24 }));
             const double rate = pick({ 2, 6, 30, 150, 500 });
             options.limit = { rate, rate * pick({ 0.2, 1, 1, 2 }) };
+            options.limit.slack = seed % 2 == 0 ? 20 : 0;
             options.loss = pick({ 0, 0, 0.01, 0.1 });
             options.maxDelay = absl::Milliseconds(pick({ 2, 10, 60, 200 }));
             LeaseSimulation simulation(options);
