--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -640,7 +640,7 @@
 /// A sound backend: runs each request for the milliseconds that its path ends with, and records the run.
 class Backend {
 public:
-    /// Sends the answer of a fault instead of its own; returns false to answer soundly.
+    /// Sends the answer of a fault and returns true; or sends nothing and returns false, for a sound answer.
     using Fault = std::function<bool(int fd, const Message& request)>;
 
     bool start(const Machine& machine, Record& record, Fault fault = nullptr)
--- a/review/stand-2/garbled-trailer.cc
+++ b/review/stand-2/wrong-length.cc
@@ -1,5 +1,4 @@
-// A faulty backend spoils one of its answers: a chunked body that is followed by a trailer field of 70,000
-// bytes. Clients of its machine have requests in flight at the sound backend of another machine.
+// A faulty backend spoils one of its answers: the length that it announces is wrong. Clients of its machine have requests in flight at the sound backend of another machine.
 #include "stand.h"
 
 using namespace stand;
@@ -20,10 +19,10 @@
         if (!spoilsNext.exchange(false))
             return false;
         const std::string id = request.header("Attempt-Id");
-        record.line("fault  the backend of one answers " + id + " with a trailer field of 70,000 bytes");
+        record.line("fault  the backend of one answers " + id + " with a wrong Content-Length");
         sendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: " + id
-                + ".seal\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Rest: "
-                + std::string(70000, 'a') + "\r\n\r\n");
+                + ".seal\r\nContent-Length: 999999999999999999\r\n\r\nhello");
+        shutdown(fd, SHUT_RDWR); // It breaks off after the first bytes.
         return true;
     };
     if (!fleet.startStore() || !swatch.start(faulty, record, garble) || !dispatch.start(sound, record)
