--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and clients of the second review's scripts into target/review-2.
+# Builds the stand-ins and clients of the second review's scripts into build-review-2/. Needs g++ only.
 set -eu
 cd "$(dirname "$0")/.."
-mkdir -p target/review-2
-for source in review/stand-2/*.cc; do
-  g++ -std=c++20 -O1 -pthread -o "target/review-2/$(basename "$source" .cc)" "$source" &
-done
-wait
-for source in review/stand-2/*.cc; do
-  [ -x "target/review-2/$(basename "$source" .cc)" ] || exit 1
+out=build-review-2
+rm -rf "$out"
+mkdir -p "$out"
+pids=""
+for source in review/stand-2/*.cpp; do
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "$out/$(basename "$source" .cpp)" "$source" &
+  pids="$pids $!"
 done
+for pid in $pids; do wait "$pid"; done
--- a/review/stand-2/reset-answer.cc
+++ b/review/stand-2/reset-answer.cpp
@@ -1,6 +1,6 @@
 // A backend answers a long upload before it has read all of it, with a body that has no length. It breaks the
 // answer off in the middle and resets the connection, as its process does when it crashes.
-#include "stand.h"
+#include "stand.hpp"
 
 using namespace stand;
 
--- a/review/stand-2/smuggled-request.cc
+++ b/review/stand-2/smuggled-request.cpp
@@ -1,6 +1,6 @@
 // A client sends an upload with a transfer coding that does not end with "chunked". Its body holds the text of
 // another request, which no client sends.
-#include "stand.h"
+#include "stand.hpp"
 
 using namespace stand;
 
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.hpp
@@ -479,7 +479,8 @@
         return *machines.back();
     }
 
-    /// Starts the node with the command of the deploy file and settings in the form of its template.
+    /// Starts the node with the command of the deploy file and settings in the form of its template. To be called
+    /// from the main thread, as the node ends with the thread that starts it.
     bool startNode(Machine& machine)
     {
         const std::string file = folder_ + "/" + machine.name + ".json";
--- a/review/stand-2/unreadable-entry.cc
+++ b/review/stand-2/unreadable-entry.cpp
@@ -1,6 +1,6 @@
 // Another writer leaves an entry in the store whose text is not UTF-8. The operator then moves bookings to
 // another service.
-#include "stand.h"
+#include "stand.hpp"
 
 using namespace stand;
 
--- a/review/stand-2/wrong-length.cc
+++ b/review/stand-2/wrong-length.cpp
@@ -1,5 +1,5 @@
 // A faulty backend spoils one of its answers: the length that it announces is wrong. Clients of its machine have requests in flight at the sound backend of another machine.
-#include "stand.h"
+#include "stand.hpp"
 
 using namespace stand;
 
