--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 program=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
-case=build-review-2/client-trailer
+case=build-review-2/forgotten-leave
 [ -x "$program" ] && [ -x "$case" ] || exit 2
 timeout -k 2 100 "$case" "$program" review/10/record.txt
 code=$?
--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -295,6 +295,13 @@
             return sendAll(fd, answer(request));
         });
     }
+    /// While it is down it answers each call, also watches that wait, with 503: nothing was done.
+    void setDown(bool isDown)
+    {
+        const std::lock_guard lock(mutex_);
+        isDown_ = isDown;
+        changed_.notify_all();
+    }
     /// Writes an object as the operator does.
     void put(const std::string& kind, const std::string& name, const std::string& spec)
     {
@@ -370,6 +377,8 @@
         const std::string kind = rest.substr(0, rest.find('/'));
         std::string name = rest.find('/') == std::string::npos ? "" : rest.substr(rest.find('/') + 1);
         std::unique_lock lock(mutex_);
+        if (isDown_)
+            return json(503, "{}");
         auto& objects = kinds_[kind];
         if (request.first == "GET" && !queryValue(query, "watch").empty()) {
             const std::uint64_t after = std::strtoull(queryValue(query, "watch").c_str(), nullptr, 10);
@@ -382,7 +391,9 @@
                 }
                 return result;
             };
-            changed_.wait_for(lock, std::chrono::milliseconds(wait), [&] { return !events().empty(); });
+            changed_.wait_for(lock, std::chrono::milliseconds(wait), [&] { return isDown_ || !events().empty(); });
+            if (isDown_)
+                return json(503, "{}");
             return json(200, "{\"events\":[" + events() + "],\"at_rev\":" + std::to_string(revision_) + "}");
         }
         if (request.first == "GET" && name.empty()) {
@@ -417,6 +428,7 @@
     Server server_;
     std::mutex mutex_;
     std::condition_variable changed_;
+    bool isDown_ = false;
     std::uint64_t revision_ = 1;
     std::map<std::string, std::map<std::string, Object>> kinds_;
 };
@@ -429,6 +441,7 @@
     std::string id; ///< Of its backend.
     std::uint64_t born = 0;
     pid_t process = -1;
+    std::atomic<bool> hasLeft = false; ///< Its backend sends no further check-ins.
 
     std::string outbound() const { return ip + ":8304"; }
     std::string inbound() const { return ip + ":8300"; }
@@ -564,27 +577,49 @@
         return true;
     }
 
-    /// Sends the check-ins of a machine's backend every 0.5 s for as long as this process lives.
+    /// What the backend of a machine says of itself when it is ready.
+    static std::string checkIn(const Machine& machine, std::uint64_t sequence)
+    {
+        return "{\"service\":\"" + machine.service + "\",\"address\":\"" + machine.app()
+            + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"capacity\":36,\"state\":\"ready\",\"cold_left_ms\":0,"
+            + "\"sequence\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(machine.born) + "}";
+    }
+    /// Sends a message of a backend to its node; `call` is "heartbeat" or "leave". True if it was acknowledged
+    /// within a second.
+    static bool tell(const Machine& machine, const std::string& call, const std::string& body)
+    {
+        const int fd = connectTo(machine.control());
+        if (fd < 0)
+            return false;
+        sendAll(fd, "POST /jackdawwall/rpc?call=instances." + call + "&of=" + machine.id
+                + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body);
+        Reader reader(fd);
+        const auto reply = reader.next(1);
+        close(fd);
+        return reply && reply->status() / 100 == 2;
+    }
+    /// Sends the check-ins of a machine's backend every 0.5 s until the backend leaves.
     void startCheckIns(const Machine& machine)
     {
         std::thread([&machine] {
-            for (std::uint64_t sequence = 1;; ++sequence) {
-                const std::string body = "{\"service\":\"" + machine.service + "\",\"address\":\"" + machine.app()
-                    + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"capacity\":36,\"state\":\"ready\",\"cold_left_ms\":0,"
-                    + "\"sequence\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(machine.born) + "}";
-                const int fd = connectTo(machine.control());
-                if (fd >= 0) {
-                    sendAll(fd, "POST /jackdawwall/rpc?call=instances.heartbeat&of=" + machine.id
-                            + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: "
-                            + std::to_string(body.size()) + "\r\n\r\n" + body);
-                    Reader reader(fd);
-                    reader.next(1);
-                    close(fd);
-                }
+            for (std::uint64_t sequence = 1; !machine.hasLeft; ++sequence) {
+                tell(machine, "heartbeat", checkIn(machine, sequence));
                 sleepSeconds(0.5);
             }
         }).detach();
     }
+    /// Kills the nodes of all machines at the same moment.
+    void killAll()
+    {
+        for (const auto& machine : machines)
+            kill(machine->process, SIGKILL);
+        for (const auto& machine : machines) {
+            waitpid(machine->process, nullptr, 0);
+            machine->process = -1;
+        }
+        record_.line("killed the nodes of all machines");
+    }
 
     /// Ends all processes that this fleet started, by their ids.
     void stop()
