Review case 9: records of removed machines keep a fleet from recovering

6,000 machines are added and removed, then the nodes of the four that stay are killed and started again. Nothing deletes the records of removed machines, so the nodes look for each other among them, and fewer than a quarter of the requests is served 16 to 26 s after the start (RECOVER).

The store stand-in lists 500 objects a page now, as the pages say.

--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -308,8 +308,15 @@
         const std::lock_guard lock(mutex_);
         write(kind, name, spec);
     }
+    bool has(const std::string& kind, const std::string& name)
+    {
+        const std::lock_guard lock(mutex_);
+        return kinds_[kind].contains(name);
+    }
 
 private:
+    static constexpr int kPageSize = 500; ///< Objects in one page of a listing.
+
     struct Object {
         std::uint64_t revision = 0;
         std::uint64_t created = 0;
@@ -398,9 +405,12 @@
         }
         if (request.first == "GET" && name.empty()) {
             std::string items;
-            for (const auto& [key, object] : objects)
-                items += (items.empty() ? "" : ",") + text(key, object);
-            return json(200, "{\"items\":[" + items + "],\"has_more\":false,\"at_rev\":" + std::to_string(revision_) + "}");
+            auto next = objects.upper_bound(queryValue(query, "after"));
+            for (int count = 0; next != objects.end() && count < kPageSize; ++next, ++count)
+                items += (items.empty() ? "" : ",") + text(next->first, next->second);
+            const std::string hasMore = next == objects.end() ? "false" : "true";
+            return json(200, "{\"items\":[" + items + "],\"has_more\":" + hasMore
+                    + ",\"at_rev\":" + std::to_string(revision_) + "}");
         }
         if (request.first == "GET")
             return objects.contains(name) ? json(200, text(name, objects[name])) : json(404, "{}");
@@ -522,6 +532,16 @@
         return process > 0;
     }
 
+    /// Kills the node of a machine that is not one of `machines`, and deletes its files.
+    void remove(Machine& machine)
+    {
+        kill(machine.process, SIGKILL);
+        waitpid(machine.process, nullptr, 0);
+        machine.process = -1;
+        std::remove((folder_ + "/" + machine.name + ".json").c_str());
+        std::remove((folder_ + "/" + machine.name + ".log").c_str());
+    }
+
     /// How the process ended by itself; empty if it still runs after so many seconds.
     std::string endOf(Machine& machine, double waitSeconds = 0)
     {
