Count a failed write of a request as a reset of its response

Cause: Linux reports a reset once per socket. While the rest of the upload was still being written, the write got it, and the read got an orderly end, which ends a response without a length. The error of the write was only noted as a reason not to reuse the connection.

Evidence: reset-response-test, a table of eight early responses, fails in the two rows without a length that are reset: 200 instead of 502, with half of the body and with none. The rows with a length, with chunks and with an orderly end passed before.

Why this works: whichever of the two operations gets the reset, the end of the connection no longer completes a response. Framed responses don't depend on that end.

--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -100,8 +100,10 @@
     asio::async_write(socket_, buffers, [self = shared_from_this()](beast::error_code error, std::size_t) {
         self->isWriting_ = false;
         // The server may have responded before it closed the connection; the read reports the result.
-        if (error)
+        if (error) {
             self->isReusable_ = false;
+            self->hasWriteFailed_ = true;
+        }
     });
 }
 
@@ -185,8 +187,9 @@
 void UpstreamConnection::onEndOfStream(beast::error_code error)
 {
     isReusable_ = false;
-    if (error == asio::error::eof && parser_ && parser_->is_header_done()
-        && exchange_.allowsUnframedResponse) {
+    // The kernel reports a reset once. After a write that failed with it, the read gets an orderly end.
+    const bool isOrderlyEnd = error == asio::error::eof && !hasWriteFailed_;
+    if (isOrderlyEnd && parser_ && parser_->is_header_done() && exchange_.allowsUnframedResponse) {
         beast::error_code ignored;
         parser_->put_eof(ignored);
         if (!ignored && parser_->is_done() && acceptResponse())
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -48,7 +48,8 @@
     bool requiresId = false;
     absl::Duration connectTimeout = absl::Milliseconds(500);
     absl::Duration maxIdleTime = absl::Seconds(30); ///< Longest idle time of a connection that is reused.
-    bool allowsUnframedResponse = true; ///< Accepts a response that ends with its connection.
+    /// Accepts a response that ends with its connection, if that is closed and not reset.
+    bool allowsUnframedResponse = true;
     std::uint64_t maxResponseBytes = 32ULL << 20; ///< Largest response body.
     std::uint32_t maxHeadBytes = 32U << 10; ///< Largest response head.
     /// For sendWithTimeout and idempotent requests: an exchange on a reused connection that fails, or has no
@@ -102,6 +103,7 @@
     bool isConnected_ = false;
     bool isReading_ = false;
     bool isWriting_ = false;
+    bool hasWriteFailed_ = false; ///< The connection was reset, or its path is dead.
     bool isClosed_ = false;
     bool isReusable_ = true;
     std::size_t headBytes_ = 0; ///< Of the response that is being received.
