Check a declared length before memory is reserved; end a connection, not the process, on a parser's exception

Cause: in its eager mode the parser goes on to the body after it found the declared length over the limit, drops the error and reserves the length: std::bad_alloc, which nothing catches below main. Fields and trailers over 65,533 bytes end the process the same way, with std::length_error.

Evidence: unparsable-message-test, 19 messages at all five ports and as responses of targets, nodes and the store. 22 rows and the comparison of lengths failed before, each with an exception that reached the event loop.

--- a/src/relay/http-session.cc
+++ b/src/relay/http-session.cc
@@ -207,7 +207,6 @@
         }
     }
     parser_.emplace();
-    parser_->eager(true);
     parser_->header_limit(std::numeric_limits<std::uint32_t>::max()); // Checked above.
     parser_->body_limit(limits.bodyBytes);
     return true;
@@ -223,7 +222,7 @@
         return false;
     }
     beast::error_code error;
-    buffer_.consume(parser_->put(buffer_.data(), error));
+    buffer_.consume(parseBytes(*parser_, buffer_.data(), error));
     if ((error && error != http::error::need_more) || !parser_->is_header_done()) {
         refuse(statusFor(error), error.message());
         return false;
--- a/src/relay/http-session.h
+++ b/src/relay/http-session.h
@@ -81,7 +81,7 @@
     Tcp::socket socket_;
     asio::ip::address remoteAddress_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<RequestParser> parser_;
     std::deque<IncomingRequestPtr> pending_;
     std::vector<OutgoingBytes> writing_;
     std::vector<OutgoingBytes> writeQueue_;
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <new>
 #include <stdexcept>
 #include <vector>
 
@@ -38,6 +39,40 @@
     return bytes;
 }
 
+/// Parses the head in a step of its own. If a parser goes on to the body at once, it ignores that the
+/// declared length is over its limit, and reserves memory for it.
+template <bool isRequest>
+std::size_t parseInSteps(
+    http::parser<isRequest, http::string_body>& parser, asio::const_buffer bytes, beast::error_code& error)
+{
+    std::size_t used = 0;
+    if (!parser.is_header_done()) {
+        parser.eager(false);
+        used = parser.put(bytes, error);
+        if (error || !parser.is_header_done())
+            return used;
+        parser.eager(true);
+    }
+    if (!parser.is_done() && used < bytes.size())
+        used += parser.put(bytes + used, error);
+    return used;
+}
+
+/// Turns the exceptions of the parser into errors, so that a message ends its connection and not the process.
+template <bool isRequest>
+std::size_t parseWithoutExceptions(
+    http::parser<isRequest, http::string_body>& parser, asio::const_buffer bytes, beast::error_code& error)
+{
+    try {
+        return parseInSteps(parser, bytes, error);
+    } catch (const std::length_error&) {
+        error = http::error::header_limit;
+    } catch (const std::bad_alloc&) {
+        error = http::error::buffer_overflow;
+    }
+    return 0;
+}
+
 void setOption(int socket, int level, int option, int value)
 {
     // Fails only on a closed socket, which the next read or write reports.
@@ -51,6 +86,16 @@
     return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+std::size_t parseBytes(RequestParser& parser, asio::const_buffer bytes, beast::error_code& error)
+{
+    return parseWithoutExceptions(parser, bytes, error);
+}
+
+std::size_t parseBytes(ResponseParser& parser, asio::const_buffer bytes, beast::error_code& error)
+{
+    return parseWithoutExceptions(parser, bytes, error);
+}
+
 std::string serializeRequest(const Request& request)
 {
     return serializeHead(request) + request.body();
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -111,7 +111,6 @@
 {
     headBytes_ = 0;
     parser_.emplace();
-    parser_->eager(true);
     parser_->skip(exchange_.isHeadRequest);
     parser_->header_limit(exchange_.maxHeadBytes);
     parser_->body_limit(exchange_.maxResponseBytes);
@@ -153,9 +152,7 @@
 
 bool UpstreamConnection::reserveReceived()
 {
-    // The parser's limit on bodies does not hold for a body with a Content-Length.
-    const bool isBodyTooLarge = parser_->get().body().size() > exchange_.maxResponseBytes;
-    if (isBodyTooLarge || buffer_.size() > kMaxUnparsedBytes) {
+    if (buffer_.size() > kMaxUnparsedBytes) {
         finish(ExchangeStatus::TooLarge);
         return false;
     }
@@ -204,7 +201,7 @@
 {
     while (done_ && buffer_.size() > 0) {
         beast::error_code error;
-        const std::size_t parsed = parser_->put(buffer_.data(), error);
+        const std::size_t parsed = parseBytes(*parser_, buffer_.data(), error);
         buffer_.consume(parsed);
         headBytes_ += parsed;
         // The parser's limit on heads does not hold for complete lines that arrive one by one.
@@ -212,7 +209,8 @@
             error = http::error::header_limit;
         if (error && error != http::error::need_more) {
             isReusable_ = false;
-            const bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit;
+            const bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit
+                || error == http::error::buffer_overflow;
             finish(isTooLarge ? ExchangeStatus::TooLarge : ExchangeStatus::Malformed);
             return;
         }
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -95,7 +95,7 @@
     Tcp::socket socket_;
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<ResponseParser> parser_;
     ExchangeRequest exchange_;
     ExchangeCallback done_;
     Response response_;
