Don't copy an authority to Host that no header can hold

Limits on heads don't count the request line.

Cause: useOriginForm sets Host to the authority; a header over 65,533 bytes makes the library throw std::length_error, which nothing catches below main.

Evidence: the row "an absolute target with a long authority" of unparsable-message-test failed before, with that exception.

Why this works: such a target stays as it is and matches no route, as one with an empty authority does.

--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -23,6 +23,8 @@
 constexpr int kKeepAliveProbes = 2;
 /// The connection fails when sent bytes stay unacknowledged for this long.
 constexpr int kUserTimeoutMilliseconds = 2000;
+/// Longest value of a header that a message can hold.
+constexpr std::size_t kMaxFieldBytes = 65'533;
 
 template <bool isRequest> std::string writeHead(http::serializer<isRequest, http::string_body>& serializer)
 {
@@ -120,9 +122,10 @@
         if (!absl::StartsWithIgnoreCase(target, scheme))
             continue;
         const std::size_t authorityEnd = std::min(target.find_first_of("/?", scheme.size()), target.size());
-        if (authorityEnd == scheme.size())
-            return; // An empty authority matches no route.
-        request.set(http::field::host, target.substr(scheme.size(), authorityEnd - scheme.size()));
+        const std::string authority = target.substr(scheme.size(), authorityEnd - scheme.size());
+        if (authority.empty() || authority.size() > kMaxFieldBytes)
+            return; // It matches no route.
+        request.set(http::field::host, authority);
         const std::string path = target.substr(authorityEnd);
         request.target(absl::StartsWith(path, "/") ? path : "/" + path);
         return;
--- a/test/unparsable-message-test.cc
+++ b/test/unparsable-message-test.cc
@@ -64,6 +64,8 @@
 }
 
 const StartLine kRequestLines[] = {
+    { "an absolute target with a long authority",
+        absl::StrCat("GET http://", kLong, "/read/1/2 HTTP/1.1\r\nHost: a.example\r\n\r\n") },
     { "a long path", absl::StrCat("GET /read/", kLong, " HTTP/1.1\r\nHost: a.example\r\n\r\n") },
     { "a long method", absl::StrCat(kLong, " /read/1 HTTP/1.1\r\nHost: a.example\r\n\r\n") },
     { "an unknown version", "GET /read/1 HTTP/9.9\r\nHost: a.example\r\n\r\n" },
