Reject addresses with a zero byte

Cause: isAddress passes the text to a function of the C library, which stops at a zero byte. parseEndpoint splits the whole text and throws std::invalid_argument for "127.0.0.1\0a:b:80", which nothing catches below main. A message or a record of a node can hold such an address.

Evidence: anAddressWithAnEmbeddedZeroIsNone of unparsable-message-test: two of the addresses were accepted before.

Why this works: all addresses from messages and records pass isAddress first.

Measured: unparsable-message-test passes.

--- a/src/adapter/json-reader.cc
+++ b/src/adapter/json-reader.cc
@@ -33,7 +33,8 @@
 bool isAddress(const std::string& text)
 {
     const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
+    const bool endsEarly = text.find('\0') != std::string::npos; // For functions of the C library.
+    if (colon == std::string::npos || endsEarly)
         return false;
     in_addr parsed {};
     if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
--- a/test/unparsable-message-test.cc
+++ b/test/unparsable-message-test.cc
@@ -2,6 +2,7 @@
 // that ends the process, and with it the calls of all others, instead of its own connection.
 #include "store-fixture.h"
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 
 #include <boost/asio/read.hpp>
@@ -259,3 +260,14 @@
     }
     BOOST_TEST(one.target.requests.empty());
 }
+
+// An address that one check accepts and the next can't parse ends the process as well.
+BOOST_AUTO_TEST_CASE(anAddressWithAnEmbeddedZeroIsNone)
+{
+    using namespace std::string_literals;
+    const std::string addresses[] = { "127.0.0.1\0a:b:80"s, "127.0.0.1\0:80"s, "127.0.0.1:80\0"s,
+        "127.0.0.1:80:80"s, "127.0.0.1"s, ":80"s, "127.0.0.1:"s, "127.0.0.1:65536"s };
+    for (const std::string& address : addresses)
+        BOOST_TEST(!isAddress(address), absl::CHexEscape(address));
+    BOOST_TEST(isAddress("127.0.0.1:80"));
+}
