Require proof that the target has not left before a restarted node serves it

Cause: no copy of the leave was left, and a starting node took the absence of a record for a proof: a stored record without a leave, the word of a node that knew only that record, or two heartbeats. All heartbeats may be late.

Why this works: one of three facts has to prove that the target has not left: a node that has run 5 s longer knows no leave; the target started after any acknowledgement of an earlier process; a heartbeat comes 5 s after the start. Acknowledgements without the store wait for all neighbours that are alive, so that each of them can be asked.

--- a/include/jackdawwall/target-lifetime.h
+++ b/include/jackdawwall/target-lifetime.h
@@ -5,6 +5,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -42,8 +43,14 @@
     int slots = 0;
     absl::Time coldStartUntil = absl::InfinitePast();
     std::optional<Lifetime> lastLeft; ///< Newest lifetime known to have left.
-    bool isHistoryKnown = false; ///< Leaves acknowledged by an earlier run of this node have been queried.
-    int readyHeartbeats = 0; ///< Heartbeats of the current lifetime with phase Ready.
+    /// All leaves that earlier runs of this node acknowledged are known, from a node that has run since.
+    bool isHistoryKnown = false;
+    /// A heartbeat received earlier may have been sent before a leave that an earlier run acknowledged.
+    absl::Time heartbeatsConclusiveFrom = absl::InfiniteFuture();
+    /// A lifetime that started earlier, Unix milliseconds, may have left with an acknowledgement of an
+    /// earlier run.
+    std::uint64_t lifetimesNewFrom = std::numeric_limits<std::uint64_t>::max();
+    bool isReadinessProven = false; ///< A heartbeat proves that the current lifetime had not left before.
 };
 
 /// Effect of a heartbeat or leave on the target's state.
@@ -53,6 +60,12 @@
     bool isNewLifetime = false;
 };
 
+/// Sets from when on heartbeats and lifetimes are conclusive for a run of this node that starts now. A
+/// heartbeat is received `maxHeartbeatDelay` after it was sent at the latest, and no leave that the store
+/// does not hold is acknowledged sooner than `minAcknowledgeTime` after it came.
+void startRun(TargetState& state, absl::Time now, absl::Time timeOfDay, absl::Duration maxHeartbeatDelay,
+    absl::Duration minAcknowledgeTime);
+
 /// Processes a heartbeat. One without a start is not accepted, as it can't be attributed to a lifetime.
 TargetChange recordHeartbeat(TargetState& state, const Heartbeat& heartbeat, absl::Time now);
 
@@ -64,10 +77,7 @@
 /// Restores a leave that an earlier run of this node acknowledged, as reported by the store or another node.
 TargetChange restoreLeave(TargetState& state, const Lifetime& lifetime);
 
-/// True when new work may be sent to the target.
+/// True when new work may be sent to the target: it is ready, and has not left during an earlier run.
 bool isServing(const TargetState& state);
 
-/// Number of ready heartbeats that prove the readiness of a lifetime when its history could not be queried.
-inline constexpr int kHeartbeatsWithoutHistory = 2;
-
 } // namespace jackdawwall
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -52,6 +52,7 @@
                 { "incarnation", changed.incarnation } });
         membersChanged(state_);
     }
+    completeAnnouncements();
     sendRound();
     timer_.expires_after(absl::ToChronoMicroseconds(state_.settings.gossipInterval));
     timer_.async_wait([this](beast::error_code error) {
@@ -126,19 +127,44 @@
         return;
     }
     recordHeartbeat(state_.decisions.membership, address, sent.upTo, steadyNow());
+    completeAnnouncements();
+    // A change that came while the reply was awaited, and that no other message to this neighbour announced.
+    if (state_.decisions.membership.lastChange > sent.upTo
+        || state_.configuration.version > std::max(sent.version, neighbours_[address].configurationVersion))
+        sendUpdate(address);
+}
+
+bool PeerLink::hasReachedNeighbours(std::uint64_t change) const
+{
+    const MembershipState& membership = state_.decisions.membership;
+    bool hasReachedAny = false;
+    for (const Member& member : chooseNeighbours(membership, kSuccessors)) {
+        if (member.peerAddress == membership.self || member.status != MemberStatus::Alive)
+            continue;
+        const auto known = membership.neighbours.find(member.peerAddress);
+        if (known == membership.neighbours.end() || known->second.acknowledged < change)
+            return false;
+        hasReachedAny = true;
+    }
+    return hasReachedAny;
+}
+
+void PeerLink::completeAnnouncements()
+{
     std::vector<std::function<void()>> acknowledged;
     std::erase_if(pendingAnnouncements_, [&](const auto& waiting) {
-        if (waiting.first > sent.upTo)
+        if (!hasReachedNeighbours(waiting.first))
             return false;
         acknowledged.push_back(waiting.second);
         return true;
     });
     for (const auto& callback : acknowledged)
         callback();
-    // A change that came while the reply was awaited, and that no other message to this neighbour announced.
-    if (state_.decisions.membership.lastChange > sent.upTo
-        || state_.configuration.version > std::max(sent.version, neighbours_[address].configurationVersion))
-        sendUpdate(address);
+}
+
+absl::Duration PeerLink::uptime() const
+{
+    return steadyNow() - startedAt_;
 }
 
 std::string PeerLink::encodeUpdate(const std::string& address, bool isReply, std::uint64_t& upTo)
@@ -146,6 +172,7 @@
     PeerMessage message;
     const Neighbour& neighbour = neighbours_[address];
     message.runId = runId_;
+    message.uptime = uptime();
     message.sender = localMember(state_);
     message.members = updatesFor(state_.decisions.membership, address, kMaxMembersPerMessage, upTo);
     const auto receiver = state_.decisions.membership.members.find(address);
@@ -189,17 +216,15 @@
     std::vector<Member> reported = message->members;
     reported.push_back(message->sender);
     std::optional<Lifetime> left;
-    bool knowsEarlierProcess = false;
     for (const Member& member : reported) {
-        if (member.peerAddress != state_.decisions.membership.self)
-            continue;
-        // A record that this process did not make comes from an earlier process of this node.
-        knowsEarlierProcess = knowsEarlierProcess || member.incarnation > localMember(state_).incarnation;
-        if (!member.leftTarget.empty())
+        if (member.peerAddress == state_.decisions.membership.self && !member.leftTarget.empty())
             left = Lifetime { member.leftTarget, member.leftStartedAt };
     }
-    if (left || knowsEarlierProcess)
-        events_.onPreviousLeave(left);
+    // A leave that it missed was acknowledged before its start. Heartbeats sent before that leave came too
+    // early to reach this process.
+    const bool isComplete = message->uptime >= uptime() + state_.settings.maxHeartbeatDelay;
+    if (left || isComplete)
+        events_.onPreviousLeave(left, isComplete);
     merge(reported);
     if (!message->configuration.empty())
         events_.onConfiguration(message->configuration, sender);
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -14,9 +14,10 @@
 struct PeerLinkEvents {
     /// The node at `sender` sent a newer configuration.
     std::function<void(const std::string& document, const std::string& sender)> onConfiguration;
-    /// Another node that knows an earlier process of this node sent the last leave that it acknowledged;
-    /// empty if there was none.
-    std::function<void(const std::optional<Lifetime>& left)> onPreviousLeave;
+    /// Another node sent the last leave that it knows of an earlier process of this node; empty if it knows
+    /// none. `isComplete`: it ran early enough to know of every leave whose target may still be taken for
+    /// ready.
+    std::function<void(const std::optional<Lifetime>& left, bool isComplete)> onPreviousLeave;
 };
 
 class PeerLink {
@@ -27,7 +28,8 @@
     void start();
     /// Handles a message from another node.
     void accept(const IncomingRequestPtr& incoming);
-    /// Starts a round now. `onAcknowledged` is called once, when a neighbour has acknowledged the update.
+    /// Starts a round now. `onAcknowledged` is called once, when all neighbours that are alive have
+    /// acknowledged the update, at least one.
     void announce(std::function<void()> onAcknowledged = nullptr);
     /// Merges members read from the store.
     void addMembers(const std::vector<Member>& members);
@@ -56,15 +58,20 @@
     std::string encodeUpdate(const std::string& address, bool isReply, std::uint64_t& upTo);
     bool applyMessage(const std::string& body, std::string& sender);
     void merge(const std::vector<Member>& reported);
+    bool hasReachedNeighbours(std::uint64_t change) const;
+    /// Calls back for the announcements that have reached all neighbours.
+    void completeAnnouncements();
+    absl::Duration uptime() const;
     void resetIfRestarted(const std::string& address, const std::string& runId);
 
     RelayState& state_;
     PeerLinkEvents events_;
     asio::steady_timer timer_;
     std::string runId_;
+    absl::Time startedAt_ = steadyNow();
     unsigned round_ = 0;
     std::map<std::string, Neighbour> neighbours_;
-    /// Callbacks of announce, each with the change number that a neighbour has to acknowledge first.
+    /// Callbacks of announce, each with the change number that the neighbours have to acknowledge first.
     std::vector<std::pair<std::uint64_t, std::function<void()>>> pendingAnnouncements_;
 };
 
--- a/src/relay/peer-message.cc
+++ b/src/relay/peer-message.cc
@@ -70,6 +70,7 @@
         throw Json::RuntimeError("members are not an array");
     PeerMessage message;
     message.runId = value["run"].asString();
+    message.uptime = absl::Milliseconds(value.get("uptimeMs", 0).asInt64());
     message.sender = decodeMember(value["from"]);
     for (const Json::Value& member : value["members"])
         message.members.push_back(decodeMember(member));
@@ -86,6 +87,7 @@
 {
     Json::Value value;
     value["run"] = message.runId;
+    value["uptimeMs"] = Json::Int64(absl::ToInt64Milliseconds(message.uptime));
     value["from"] = encodeMember(message.sender);
     value["members"] = Json::Value(Json::arrayValue);
     for (const Member& member : message.members)
--- a/src/relay/peer-message.h
+++ b/src/relay/peer-message.h
@@ -13,6 +13,7 @@
 
 struct PeerMessage {
     std::string runId; ///< Identifies one run of the sender's process.
+    absl::Duration uptime; ///< Of that process, in whole milliseconds.
     Member sender;
     std::vector<Member> members; ///< Updates, and the sender's record of the receiver.
     std::uint64_t upTo = 0; ///< Number of the latest change of the sender that the updates include.
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -91,11 +91,13 @@
           { [this](const std::string& document, const std::string& sender) {
                onConfiguration(document, sender);
            },
-              [this](const std::optional<Lifetime>& left) { onPreviousLeave(left); } })
+              [this](const std::optional<Lifetime>& left, bool isComplete) {
+                  onPreviousLeave(left, isComplete);
+              } })
     , storeSync_(state_, port_,
           { [this](const std::string& document) { onConfiguration(document, "store"); },
               [this](const std::vector<Member>& members) { peerLink_.addMembers(members); },
-              [this](const std::optional<Lifetime>& left) { onPreviousLeave(left); },
+              [this](const Lifetime& left) { onPreviousLeave(left, false); },
               [this](StoreRevision revision) { onRegistered(revision); },
               [this] { onStoreReachabilityChanged(); } })
     , callerListener_(
@@ -136,6 +138,8 @@
     addReportPort(operatorListener_, "operator");
     portLimits_.setCallerPort(callerListener_);
     portLimits_.update();
+    startRun(
+        state_.target, steadyNow(), absl::Now(), state_.settings.maxHeartbeatDelay, kStoreAcknowledgeTime);
     if (!heartbeatListener_)
         assumeTargetReady();
     for (const std::string& address : state_.settings.seedAddresses)
@@ -175,7 +179,6 @@
 {
     state_.target.phase = TargetPhase::Ready;
     state_.target.isHistoryKnown = true;
-    state_.target.readyHeartbeats = kHeartbeatsWithoutHistory;
     onTargetChanged();
 }
 
@@ -298,7 +301,8 @@
         logEvent(LogLevel::Info, "target-changed",
             { { "target", state_.target.lifetime.id }, { "started_at", state_.target.lifetime.startedAt },
                 { "phase", static_cast<int>(state_.target.phase) }, { "sequence", state_.target.sequence },
-                { "slots", state_.target.slots } });
+                { "slots", state_.target.slots }, { "history_known", state_.target.isHistoryKnown },
+                { "serving", isServing(state_.target) } });
         onTargetChanged();
     }
     if (isLeaving)
@@ -307,8 +311,9 @@
         incoming->respond(makeJsonResponse(http::status::ok, "{}"));
 }
 
-/// Acknowledges a leave once the store can report it to this node after a restart. Another node that knows it
-/// is enough if the store does not respond in time: the leave is stored when the store responds again.
+/// Acknowledges a leave once the store can report it to this node after a restart. If the store does not
+/// respond in time, neighbours that know it are enough: the leave is stored when the store responds again. A
+/// node that starts after all of them have ended waits for conclusive heartbeats, see startRun.
 void RelayNode::onLeave(const IncomingRequestPtr& incoming)
 {
     const auto acknowledge = [incoming] { incoming->respond(makeJsonResponse(http::status::ok, "{}")); };
@@ -344,12 +349,14 @@
     membersChanged(state_);
 }
 
-void RelayNode::onPreviousLeave(const std::optional<Lifetime>& left)
+void RelayNode::onPreviousLeave(const std::optional<Lifetime>& left, bool isComplete)
 {
-    const bool hasChanged = !state_.target.isHistoryKnown || (left && left != state_.target.lastLeft);
-    if (!hasChanged)
+    const bool becomesKnown = isComplete && !state_.target.isHistoryKnown;
+    if (!becomesKnown && (!left || left == state_.target.lastLeft))
         return;
-    state_.target.isHistoryKnown = true;
+    state_.target.isHistoryKnown = state_.target.isHistoryKnown || isComplete;
+    logEvent(LogLevel::Info, "target-history",
+        { { "complete", state_.target.isHistoryKnown }, { "left", left ? left->id : "" } });
     if (left)
         restoreLeave(state_.target, *left);
     onTargetChanged();
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -63,7 +63,8 @@
     void onOperatorRequest(const IncomingRequestPtr& incoming);
     void onTargetRequest(const IncomingRequestPtr& incoming);
     void onLeave(const IncomingRequestPtr& incoming);
-    void onPreviousLeave(const std::optional<Lifetime>& left);
+    /// Restores a leave that an earlier process acknowledged. `isComplete`: there is no later one.
+    void onPreviousLeave(const std::optional<Lifetime>& left, bool isComplete);
     void onRegistered(StoreRevision revision);
     void onStoreReachabilityChanged();
     /// Treats the target as ready; for targets that send no heartbeats.
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -182,16 +182,13 @@
     });
 }
 
-/// Applies the record that the registration replaced. One that can't be decoded leaves the history unknown.
+/// Applies the record that the registration replaced.
 void StoreSync::applyPreviousRecord(const StoredItem& stored)
 {
-    const bool isFirst = stored.content.empty();
-    const auto previous = isFirst ? std::nullopt : decodeMember({ stored.name, 0, stored.content, false });
-    std::optional<Lifetime> left;
+    const auto previous
+        = stored.content.empty() ? std::nullopt : decodeMember({ stored.name, 0, stored.content, false });
     if (previous && !previous->leftTarget.empty())
-        left = Lifetime { previous->leftTarget, previous->leftStartedAt };
-    if (isFirst || previous)
-        events_.onPreviousLeave(left);
+        events_.onPreviousLeave({ previous->leftTarget, previous->leftStartedAt });
     events_.onRegistered(stored.revision);
     // If nodes share a record, the replaced content describes another node.
     if (previous && previous->peerAddress != state_.decisions.membership.self)
--- a/src/target-lifetime.cc
+++ b/src/target-lifetime.cc
@@ -25,8 +25,21 @@
         state.lastLeft = lifetime;
 }
 
+bool provesReadiness(const TargetState& state, const Heartbeat& heartbeat, absl::Time now)
+{
+    return heartbeat.phase == TargetPhase::Ready
+        && (now >= state.heartbeatsConclusiveFrom || heartbeat.lifetime.startedAt > state.lifetimesNewFrom);
+}
+
 } // namespace
 
+void startRun(TargetState& state, absl::Time now, absl::Time timeOfDay, absl::Duration maxHeartbeatDelay,
+    absl::Duration minAcknowledgeTime)
+{
+    state.heartbeatsConclusiveFrom = now + maxHeartbeatDelay;
+    state.lifetimesNewFrom = static_cast<std::uint64_t>(absl::ToUnixMillis(timeOfDay - minAcknowledgeTime));
+}
+
 TargetChange recordHeartbeat(TargetState& state, const Heartbeat& heartbeat, absl::Time now)
 {
     if (heartbeat.lifetime.startedAt == 0)
@@ -40,14 +53,14 @@
     const TargetPhase previous = isSame ? state.phase : TargetPhase::Unknown;
     if (!isSame) {
         state.lifetime = heartbeat.lifetime;
-        state.readyHeartbeats = 0;
+        state.isReadinessProven = false;
         state.sequence = 0;
     }
     state.sequence = std::max(state.sequence, heartbeat.sequence);
     state.phase = std::max(previous, heartbeat.phase);
     if (hasLeft(state, heartbeat.lifetime))
         state.phase = TargetPhase::Leaving;
-    state.readyHeartbeats += heartbeat.phase == TargetPhase::Ready ? 1 : 0;
+    state.isReadinessProven = state.isReadinessProven || provesReadiness(state, heartbeat, now);
     if (heartbeat.slots > 0)
         state.slots = heartbeat.slots;
     state.coldStartUntil = now + heartbeat.coldStartRemaining;
@@ -84,9 +97,7 @@
 
 bool isServing(const TargetState& state)
 {
-    if (state.phase != TargetPhase::Ready)
-        return false;
-    return state.isHistoryKnown || state.readyHeartbeats >= kHeartbeatsWithoutHistory;
+    return state.phase == TargetPhase::Ready && (state.isHistoryKnown || state.isReadinessProven);
 }
 
 } // namespace jackdawwall
--- a/test/relay-fixture.h
+++ b/test/relay-fixture.h
@@ -323,6 +323,7 @@
         settings.operatorAddress = kAnyAddress;
         settings.targetAddress = targetAddress;
         settings.gossipInterval = absl::Milliseconds(50);
+        settings.maxHeartbeatDelay = absl::ZeroDuration(); // Tests of delayed heartbeats set one.
         settings.stopTime = absl::Seconds(6);
         settings.arrivalBudget = ArrivalBudgetOptions {};
         settings.admission = routedAdmissionOptions();
