Ignore queued timers and connections of a destroyed node

Seen: leave-record-test ended once with a memory access violation, in one of five whole runs, while its orders were extended; valgrind showed HttpListener::checkTimeouts on freed memory. A node process is not affected: it destroys its node after the loop has ended. Tests that restart nodes on one loop are.

Cause: a timer that has expired, or a connection that was accepted, is queued with its handler; destroying the timer or the acceptor doesn't take that back, and the handler runs without an error.

Why this works: handlers that hold a plain pointer to the node, a listener or the gossip check that it still exists.

--- a/src/relay/http-listener.cc
+++ b/src/relay/http-listener.cc
@@ -65,18 +65,18 @@
 
 void HttpListener::accept()
 {
-    acceptor_.async_accept([this](beast::error_code error, Tcp::socket socket) {
+    acceptor_.async_accept(guard_.wrap([this](beast::error_code error, Tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
         if (error) {
             logEvent(LogLevel::Warning, "accept-failed", { { "error", error.message() } });
             auto retryTimer = std::make_shared<asio::steady_timer>(loop_, kAcceptRetryDelay);
-            retryTimer->async_wait([this, retryTimer](beast::error_code) { accept(); });
+            retryTimer->async_wait(guard_.wrap([this, retryTimer](beast::error_code) { accept(); }));
             return;
         }
         open(std::move(socket));
         accept();
-    });
+    }));
 }
 
 void HttpListener::open(Tcp::socket socket)
@@ -134,10 +134,10 @@
     for (const auto& session : sessions)
         session->checkTimeouts(now);
     timeoutTimer_.expires_after(kTimeoutCheckInterval);
-    timeoutTimer_.async_wait([this](beast::error_code error) {
+    timeoutTimer_.async_wait(guard_.wrap([this](beast::error_code error) {
         if (!error)
             checkTimeouts();
-    });
+    }));
 }
 
 void HttpListener::startClosing()
--- a/src/relay/http-listener.h
+++ b/src/relay/http-listener.h
@@ -4,6 +4,7 @@
 
 #include "jackdawwall/connection-eviction.h"
 #include "relay/byte-budget.h"
+#include "relay/callback-guard.h"
 #include "relay/message.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -132,6 +133,7 @@
     std::unordered_set<std::shared_ptr<HttpSession>> sessions_;
     std::vector<char> readBuffer_; ///< For one read at a time, so that an idle
                                    ///< connection holds none.
+    CallbackGuard guard_;
 };
 
 } // namespace jackdawwall::relay
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -55,10 +55,10 @@
     completeAnnouncements();
     sendRound();
     timer_.expires_after(absl::ToChronoMicroseconds(state_.settings.gossipInterval));
-    timer_.async_wait([this](beast::error_code error) {
+    timer_.async_wait(guard_.wrap([this](beast::error_code error) {
         if (!error)
             runRound();
-    });
+    }));
 }
 
 void PeerLink::sendRound()
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -2,6 +2,7 @@
 /// neighbours; changes of the local target are sent immediately.
 #pragma once
 
+#include "relay/callback-guard.h"
 #include "relay/http-listener.h"
 #include "relay/relay-state.h"
 
@@ -71,6 +72,7 @@
     absl::Time startedAt_ = steadyNow();
     unsigned round_ = 0;
     std::map<std::string, Neighbour> neighbours_;
+    CallbackGuard guard_;
     /// Callbacks of announce, each with the change number that the neighbours have to acknowledge first.
     std::vector<std::pair<std::uint64_t, std::function<void()>>> pendingAnnouncements_;
 };
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -191,10 +191,10 @@
     if (state_.isStopping)
         checkStopProgress();
     tickTimer_.expires_after(kTickInterval);
-    tickTimer_.async_wait([this](beast::error_code error) {
+    tickTimer_.async_wait(guard_.wrap([this](beast::error_code error) {
         if (!error)
             tick();
-    });
+    }));
 }
 
 void RelayNode::onCallerRequest(const IncomingRequestPtr& incoming)
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jackdawwall/watcher-selection.h"
+#include "relay/callback-guard.h"
 #include "relay/caller-gate.h"
 #include "relay/lease-link.h"
 #include "relay/peer-link.h"
@@ -92,6 +93,7 @@
     asio::steady_timer tickTimer_;
     absl::Time stopStartedAt_;
     int ticksRefusingCallers_ = 0; ///< Ticks since the node began to reject callers.
+    CallbackGuard guard_;
 };
 
 } // namespace jackdawwall::relay
