Serve a target without a proof only while heartbeats go on

Callers would have seen: no target of any service for 5 to 6.5 s after a kill of all nodes, as the change before asked for a proof that only time can give then.

Why this works: a target that goes on sends heartbeats, one that has left sends none. Without a proof, a target serves as before the fix (record read, or two heartbeats), but each heartbeat counts for 2 s. Late ones end; a heartbeat 5 s after the start is a proof. A leave that is known binds at once, as before.

--- a/include/jackdawwall/target-lifetime.h
+++ b/include/jackdawwall/target-lifetime.h
@@ -43,14 +43,20 @@
     int slots = 0;
     absl::Time coldStartUntil = absl::InfinitePast();
     std::optional<Lifetime> lastLeft; ///< Newest lifetime known to have left.
-    /// All leaves that earlier runs of this node acknowledged are known, from a node that has run since.
-    bool isHistoryKnown = false;
+    /// What the store or another node recorded of earlier runs of this node was read. A leave that was
+    /// acknowledged with the store away may be missing.
+    bool isRecordRead = false;
+    /// All leaves that earlier runs acknowledged are known, from a node that has run since.
+    bool isHistoryComplete = false;
     /// A heartbeat received earlier may have been sent before a leave that an earlier run acknowledged.
     absl::Time heartbeatsConclusiveFrom = absl::InfiniteFuture();
     /// A lifetime that started earlier, Unix milliseconds, may have left with an acknowledgement of an
     /// earlier run.
     std::uint64_t lifetimesNewFrom = std::numeric_limits<std::uint64_t>::max();
-    bool isReadinessProven = false; ///< A heartbeat proves that the current lifetime had not left before.
+    int readyHeartbeats = 0; ///< Heartbeats of the current lifetime with phase Ready.
+    absl::Time lastReadyAt = absl::InfinitePast(); ///< Receipt of the latest of them.
+    bool isReadinessProven = false; ///< One of them proves that the lifetime had not left before.
+    bool hasLapsed = false; ///< Readiness without a proof has ended, as no heartbeat confirmed it.
 };
 
 /// Effect of a heartbeat or leave on the target's state.
@@ -77,7 +83,16 @@
 /// Restores a leave that an earlier run of this node acknowledged, as reported by the store or another node.
 TargetChange restoreLeave(TargetState& state, const Lifetime& lifetime);
 
-/// True when new work may be sent to the target: it is ready, and has not left during an earlier run.
+/// Ends readiness that is neither proven nor confirmed by a heartbeat within `confirmationTime`. Returns true
+/// if the target no longer serves.
+bool advanceTarget(TargetState& state, absl::Time now, absl::Duration confirmationTime);
+
+/// True when new work may be sent to the target. Without a proof that it has not left during an earlier run,
+/// it serves as long as heartbeats go on: after the end of all nodes, all targets would be without work
+/// otherwise.
 bool isServing(const TargetState& state);
 
+/// Number of ready heartbeats that replace the records of earlier runs while these can't be read.
+inline constexpr int kHeartbeatsWithoutRecord = 2;
+
 } // namespace jackdawwall
--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -216,14 +216,19 @@
     std::vector<Member> reported = message->members;
     reported.push_back(message->sender);
     std::optional<Lifetime> left;
+    bool knowsEarlierProcess = false;
     for (const Member& member : reported) {
-        if (member.peerAddress == state_.decisions.membership.self && !member.leftTarget.empty())
+        if (member.peerAddress != state_.decisions.membership.self)
+            continue;
+        // A record that this process did not make comes from an earlier process of this node.
+        knowsEarlierProcess = knowsEarlierProcess || member.incarnation > localMember(state_).incarnation;
+        if (!member.leftTarget.empty())
             left = Lifetime { member.leftTarget, member.leftStartedAt };
     }
     // A leave that it missed was acknowledged before its start. Heartbeats sent before that leave came too
     // early to reach this process.
     const bool isComplete = message->uptime >= uptime() + state_.settings.maxHeartbeatDelay;
-    if (left || isComplete)
+    if (left || knowsEarlierProcess || isComplete)
         events_.onPreviousLeave(left, isComplete);
     merge(reported);
     if (!message->configuration.empty())
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -97,7 +97,7 @@
     , storeSync_(state_, port_,
           { [this](const std::string& document) { onConfiguration(document, "store"); },
               [this](const std::vector<Member>& members) { peerLink_.addMembers(members); },
-              [this](const Lifetime& left) { onPreviousLeave(left, false); },
+              [this](const std::optional<Lifetime>& left) { onPreviousLeave(left, false); },
               [this](StoreRevision revision) { onRegistered(revision); },
               [this] { onStoreReachabilityChanged(); } })
     , callerListener_(
@@ -178,12 +178,16 @@
 void RelayNode::assumeTargetReady()
 {
     state_.target.phase = TargetPhase::Ready;
-    state_.target.isHistoryKnown = true;
+    state_.target.isHistoryComplete = true;
     onTargetChanged();
 }
 
 void RelayNode::tick()
 {
+    if (advanceTarget(state_.target, steadyNow(), state_.settings.confirmationTime)) {
+        logEvent(LogLevel::Warning, "target-unconfirmed", { { "target", state_.target.lifetime.id } });
+        onTargetChanged();
+    }
     state_.gate.tick(steadyNow());
     leaseLink_.tick();
     state_.requestLog.tick(steadyNow());
@@ -301,7 +305,8 @@
         logEvent(LogLevel::Info, "target-changed",
             { { "target", state_.target.lifetime.id }, { "started_at", state_.target.lifetime.startedAt },
                 { "phase", static_cast<int>(state_.target.phase) }, { "sequence", state_.target.sequence },
-                { "slots", state_.target.slots }, { "history_known", state_.target.isHistoryKnown },
+                { "slots", state_.target.slots },
+                { "proven", state_.target.isHistoryComplete || state_.target.isReadinessProven },
                 { "serving", isServing(state_.target) } });
         onTargetChanged();
     }
@@ -313,7 +318,7 @@
 
 /// Acknowledges a leave once the store can report it to this node after a restart. If the store does not
 /// respond in time, neighbours that know it are enough: the leave is stored when the store responds again. A
-/// node that starts after all of them have ended waits for conclusive heartbeats, see startRun.
+/// node that starts after all of them have ended serves its target as isServing describes.
 void RelayNode::onLeave(const IncomingRequestPtr& incoming)
 {
     const auto acknowledge = [incoming] { incoming->respond(makeJsonResponse(http::status::ok, "{}")); };
@@ -351,12 +356,14 @@
 
 void RelayNode::onPreviousLeave(const std::optional<Lifetime>& left, bool isComplete)
 {
-    const bool becomesKnown = isComplete && !state_.target.isHistoryKnown;
-    if (!becomesKnown && (!left || left == state_.target.lastLeft))
+    TargetState& target = state_.target;
+    const bool isNew = !target.isRecordRead || (isComplete && !target.isHistoryComplete);
+    if (!isNew && (!left || left == target.lastLeft))
         return;
-    state_.target.isHistoryKnown = state_.target.isHistoryKnown || isComplete;
+    target.isRecordRead = true;
+    target.isHistoryComplete = target.isHistoryComplete || isComplete;
     logEvent(LogLevel::Info, "target-history",
-        { { "complete", state_.target.isHistoryKnown }, { "left", left ? left->id : "" } });
+        { { "complete", target.isHistoryComplete }, { "left", left ? left->id : "" } });
     if (left)
         restoreLeave(state_.target, *left);
     onTargetChanged();
--- a/src/relay/relay-settings.h
+++ b/src/relay/relay-settings.h
@@ -41,9 +41,11 @@
     /// Time within which a change of the configuration has to be in force at all nodes.
     absl::Duration configurationApplyTime = absl::Seconds(6);
     absl::Duration gossipInterval = absl::Milliseconds(500); ///< Between two gossip rounds.
-    /// Longest time between the sending of a heartbeat and its receipt. A node that starts while no other one
-    /// has run for so long gives its target no work before.
+    /// Longest time between the sending of a heartbeat and its receipt.
     absl::Duration maxHeartbeatDelay = absl::Seconds(5);
+    /// How long a heartbeat keeps a target in use that is not proven to be ready; longer than the time
+    /// between two heartbeats.
+    absl::Duration confirmationTime = absl::Seconds(2);
     /// Timeout for the header of a request, until a configuration sets one.
     absl::Duration headerTimeout = absl::Seconds(3);
     /// How long callers are still served after a stop begins, so that they can switch to other nodes.
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -182,13 +182,16 @@
     });
 }
 
-/// Applies the record that the registration replaced.
+/// Applies the record that the registration replaced. One that can't be decoded leaves the history unknown.
 void StoreSync::applyPreviousRecord(const StoredItem& stored)
 {
-    const auto previous
-        = stored.content.empty() ? std::nullopt : decodeMember({ stored.name, 0, stored.content, false });
+    const bool isFirst = stored.content.empty();
+    const auto previous = isFirst ? std::nullopt : decodeMember({ stored.name, 0, stored.content, false });
+    std::optional<Lifetime> left;
     if (previous && !previous->leftTarget.empty())
-        events_.onPreviousLeave({ previous->leftTarget, previous->leftStartedAt });
+        left = Lifetime { previous->leftTarget, previous->leftStartedAt };
+    if (isFirst || previous)
+        events_.onPreviousLeave(left);
     events_.onRegistered(stored.revision);
     // If nodes share a record, the replaced content describes another node.
     if (previous && previous->peerAddress != state_.decisions.membership.self)
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -16,9 +16,9 @@
 struct StoreSyncEvents {
     std::function<void(const std::string& document)> onConfiguration;
     std::function<void(const std::vector<Member>& members)> onMembers;
-    /// The last leave that the store has recorded for an earlier process of this node. Later ones may have
-    /// been acknowledged while the store was away.
-    std::function<void(const Lifetime& left)> onPreviousLeave;
+    /// The last leave that the store has recorded for an earlier process of this node; empty if there is
+    /// none. Later ones may have been acknowledged while the store was away.
+    std::function<void(const std::optional<Lifetime>& left)> onPreviousLeave;
     /// The revision under which this node is registered now.
     std::function<void(StoreRevision revision)> onRegistered;
     /// RelayState::canReachStore changed.
--- a/src/target-lifetime.cc
+++ b/src/target-lifetime.cc
@@ -54,6 +54,7 @@
     if (!isSame) {
         state.lifetime = heartbeat.lifetime;
         state.isReadinessProven = false;
+        state.readyHeartbeats = 0;
         state.sequence = 0;
     }
     state.sequence = std::max(state.sequence, heartbeat.sequence);
@@ -61,6 +62,11 @@
     if (hasLeft(state, heartbeat.lifetime))
         state.phase = TargetPhase::Leaving;
     state.isReadinessProven = state.isReadinessProven || provesReadiness(state, heartbeat, now);
+    if (heartbeat.phase == TargetPhase::Ready) {
+        ++state.readyHeartbeats;
+        state.lastReadyAt = now;
+        state.hasLapsed = false;
+    }
     if (heartbeat.slots > 0)
         state.slots = heartbeat.slots;
     state.coldStartUntil = now + heartbeat.coldStartRemaining;
@@ -95,9 +101,20 @@
     return { true, true, false };
 }
 
+bool advanceTarget(TargetState& state, absl::Time now, absl::Duration confirmationTime)
+{
+    const bool wasServing = isServing(state);
+    state.hasLapsed = state.hasLapsed || now - state.lastReadyAt > confirmationTime;
+    return wasServing && !isServing(state);
+}
+
 bool isServing(const TargetState& state)
 {
-    return state.phase == TargetPhase::Ready && (state.isHistoryKnown || state.isReadinessProven);
+    if (state.phase != TargetPhase::Ready)
+        return false;
+    if (state.isHistoryComplete || state.isReadinessProven)
+        return true;
+    return !state.hasLapsed && (state.isRecordRead || state.readyHeartbeats >= kHeartbeatsWithoutRecord);
 }
 
 } // namespace jackdawwall
--- a/test/leave-record-test.cc
+++ b/test/leave-record-test.cc
@@ -85,6 +85,7 @@
         store.set("configuration", "main", kRoutes);
         node.settings.maxHeartbeatDelay = absl::Hours(1); // No heartbeat of a test is received too late.
         other.settings.maxHeartbeatDelay = absl::Hours(1);
+        node.settings.confirmationTime = absl::Milliseconds(200);
         node.start();
         other.start();
         firstStart = unixMillis();
@@ -162,6 +163,11 @@
 
     bool isLeaveStored() { return absl::StrContains(store.content("nodes", "n1"), R"("leftTarget":"t1")"); }
 
+    void awaitUnconfirmed()
+    {
+        runUntil(loop, [&] { return !node.node->self().isServing; });
+    }
+
     unsigned book()
     {
         return other
@@ -199,6 +205,8 @@
     // Sent before the leave, delivered now.
     for (const int sequence : { 8, 9, 7, 10 })
         BOOST_REQUIRE_EQUAL(fleet.heartbeat("ready", sequence), 200U);
+    if (fleet.isLost) // These heartbeats are all that the node knows of the target.
+        fleet.awaitUnconfirmed();
     BOOST_TEST(!fleet.node.node->self().isServing);
     BOOST_TEST(fleet.book() == 503U);
     BOOST_TEST(fleet.target.requests.empty());
