Tests: endless bytes from another node, from the store and to the tools

Targets were covered by endless-message-test.

No fault was found: all are cut off, what is held stays under its bound, and the node serves on. The client of src/adapter/exchange.cc belongs to the tools, not to jackdaw-node, whose client is the one that the tests cover; its library ends the exchange by itself.

--- a/test/endless-message-test.cc
+++ b/test/endless-message-test.cc
@@ -77,6 +77,7 @@
     std::string address() const { return absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port()); }
 
     bool startsWithRepeatedText = false; ///< Sends the repeated text in place of a final response.
+    bool isAlwaysEndless = false; ///< Whatever the request.
     int endlessResponses = 0;
     int cutResponses = 0; ///< Endless responses whose caller closed the connection in time.
 
@@ -116,7 +117,8 @@
 
     void respond(const ConnectionPtr& connection)
     {
-        const bool isEndless = absl::StrContains(fromBeast(connection->request.target()), "endless");
+        const bool isEndless
+            = isAlwaysEndless || absl::StrContains(fromBeast(connection->request.target()), "endless");
         if (!isEndless) {
             connection->bytes = sealedResponse(connection->request, "ok");
         } else {
@@ -317,6 +319,37 @@
     BOOST_TEST(one.call(http::verb::get, "/read/1", "after").response.result_int() == 200U);
 }
 
+// Guards against a node that buffers what a faulty peer sends in reply to its updates.
+BOOST_DATA_TEST_CASE(anEndlessReplyOfAnotherNodeIsCutOff, boost::unit_test::data::make(kEndlessParts), part)
+{
+    Nodes nodes(part);
+    EndlessTarget peer(nodes.loop, part.framing, part.repeatedText);
+    peer.startsWithRepeatedText = nodes.target.startsWithRepeatedText;
+    peer.isAlwaysEndless = true;
+    nodes.serving.node->addPeer(peer.address());
+    std::uint64_t peak = 0;
+    runUntil(nodes.loop, [&] {
+        peak = std::max(peak, heldResponseBytes(nodes.serving));
+        return peer.cutResponses > 0;
+    });
+    BOOST_TEST(peak <= kMemoryBytes * kBufferedBodiesShare);
+    BOOST_TEST(nodes.call(nodes.serving, "/read/1", "after").response.result_int() == 200U);
+}
+
+BOOST_DATA_TEST_CASE(anEndlessReplyOfTheStoreIsCutOff, boost::unit_test::data::make(kEndlessParts), part)
+{
+    asio::io_context loop;
+    EndlessTarget server(loop, part.framing, part.repeatedText);
+    server.startsWithRepeatedText = absl::StartsWith(part.repeatedText, "HTTP/");
+    server.isAlwaysEndless = true;
+    platform::ObjectStore client(loop, server.address());
+    std::optional<absl::Status> status;
+    client.port().list("nodes", ReadConsistency::Latest,
+        [&](const absl::StatusOr<StoreListing>& listing) { status = listing.status(); });
+    runUntil(loop, [&] { return status.has_value() && server.cutResponses > 0; });
+    BOOST_TEST(!status->ok());
+}
+
 // Guards against a store whose listing always has another page.
 BOOST_AUTO_TEST_CASE(aListingWithoutEndFails)
 {
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -128,6 +128,31 @@
     });
 }
 
+// Guards against a tool that keeps header lines as long as they come.
+BOOST_AUTO_TEST_CASE(endlessHeadersEndTheExchange)
+{
+    constexpr std::size_t kLimit = 4U << 20; // Far above any head, with what the sockets buffer.
+    std::string lines;
+    while (lines.size() < 64U << 10)
+        lines += "X: y\r\n";
+    std::size_t sentBytes = 0;
+    RawServer server([&](int socket, int) {
+        if (!readHead(socket))
+            return;
+        sendText(socket, "HTTP/1.1 200 OK\r\n");
+        ssize_t sent = 1;
+        for (; sent > 0 && sentBytes < 2 * kLimit;
+             sentBytes += static_cast<std::size_t>(std::max<ssize_t>(0, sent)))
+            sent = send(socket, lines.data(), lines.size(), MSG_NOSIGNAL);
+    });
+    auto exchange = *Exchange::create();
+    exchange->start(requestTo(server.address));
+    exchange->awaitHeaders();
+    BOOST_TEST((exchange->state() == ExchangeState::Lost));
+    exchange.reset();
+    BOOST_TEST(sentBytes < kLimit);
+}
+
 BOOST_AUTO_TEST_CASE(refusedConnectionIsReportedAsNotSent)
 {
     std::string address;
