--- a/test/leave-record-test.cc
+++ b/test/leave-record-test.cc
@@ -1,5 +1,6 @@
 // A leave that was acknowledged, after restarts of nodes in every order and with the store away meanwhile.
 // Guards against a target that gets work again because the only copy of its leave was lost or replaced.
+#include "relay/peer-message.h"
 #include "store-fixture.h"
 
 #include "absl/strings/match.h"
@@ -268,3 +269,39 @@
     runUntil(fleet.loop, [&] { return first->has_value() && second->has_value(); });
     BOOST_TEST(fleet.isLeaveStored());
 }
+
+// A neighbour that lacks the leave must not be the only one that lives, and be asked by the restarted node.
+BOOST_AUTO_TEST_CASE(aLeaveIsNotAcknowledgedBeforeAllNeighboursHaveIt)
+{
+    Fleet fleet;
+    bool isSilent = false;
+    std::vector<std::function<void()>> withheld;
+    std::string address;
+    ScriptedTarget slowNode(fleet.loop,
+        ScriptedTarget::AsyncScript([&](const Request&, std::function<void(TargetResponse)> done) {
+            PeerMessage message;
+            message.runId = "slow";
+            message.sender.peerAddress = address;
+            message.sender.incarnation = 1;
+            const std::string body = encodePeerMessage(message);
+            const TargetResponse response { absl::StrCat(
+                "HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
+            withheld.emplace_back([done = std::move(done), response] { done(response); });
+            if (!isSilent)
+                std::exchange(withheld, {}).front()();
+        }));
+    address = slowNode.address();
+    fleet.node.node->addPeer(address);
+    runUntil(fleet.loop, [&] { return slowNode.requests.size() > 1; });
+    isSilent = true;
+    fleet.store.isUnavailable = true;
+    const int failed = fleet.store.failedUpdates;
+    const auto leave = fleet.node.send(fleet.node.settings.heartbeatAddress,
+        Request { http::verb::post, absl::StrCat("/leave/t1/", fleet.firstStart, "/0"), 11 });
+    runUntil(fleet.loop, [&] { return fleet.store.failedUpdates > failed + 3; });
+    BOOST_TEST(!leave->has_value());
+    isSilent = false;
+    for (const auto& reply : std::exchange(withheld, {}))
+        reply();
+    runUntil(fleet.loop, [&] { return leave->has_value(); });
+}
