--- a/include/jackdawwall/target-lifetime.h
+++ b/include/jackdawwall/target-lifetime.h
@@ -87,6 +87,9 @@
 /// if the target no longer serves.
 bool advanceTarget(TargetState& state, absl::Time now, absl::Duration confirmationTime);
 
+/// True when the target is known not to have left during an earlier run.
+bool isProven(const TargetState& state);
+
 /// True when new work may be sent to the target. Without a proof that it has not left during an earlier run,
 /// it serves as long as heartbeats go on: after the end of all nodes, all targets would be without work
 /// otherwise.
--- a/src/adapter/json-reader.cc
+++ b/src/adapter/json-reader.cc
@@ -33,8 +33,8 @@
 bool isAddress(const std::string& text)
 {
     const std::size_t colon = text.rfind(':');
-    const bool endsEarly = text.find('\0') != std::string::npos; // For functions of the C library.
-    if (colon == std::string::npos || endsEarly)
+    const bool hasZeroByte = text.find('\0') != std::string::npos; // Ends the text for inet_pton.
+    if (colon == std::string::npos || hasZeroByte)
         return false;
     in_addr parsed {};
     if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
--- a/src/relay/callback-guard.h
+++ b/src/relay/callback-guard.h
@@ -12,14 +12,17 @@
     /// Returns a callback that does nothing once this guard is destroyed.
     template <typename Callback> auto wrap(Callback callback) const
     {
-        return [token = std::weak_ptr(token_), callback = std::move(callback)](auto&&... arguments) {
-            if (!token.expired())
+        return [lifetime = lifetime(), callback = std::move(callback)](auto&&... arguments) {
+            if (!lifetime.expired())
                 callback(std::forward<decltype(arguments)>(arguments)...);
         };
     }
 
+    /// Expires with this guard. For callbacks that have to return something afterwards as well.
+    std::weak_ptr<const void> lifetime() const { return token_; }
+
 private:
-    std::shared_ptr<bool> token_ = std::make_shared<bool>();
+    std::shared_ptr<const bool> token_ = std::make_shared<const bool>();
 };
 
 } // namespace jackdawwall::relay
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -60,21 +60,6 @@
     return used;
 }
 
-/// Turns the exceptions of the parser into errors, so that a message ends its connection and not the process.
-template <bool isRequest>
-std::size_t parseWithoutExceptions(
-    http::parser<isRequest, http::string_body>& parser, asio::const_buffer bytes, beast::error_code& error)
-{
-    try {
-        return parseInSteps(parser, bytes, error);
-    } catch (const std::length_error&) {
-        error = http::error::header_limit;
-    } catch (const std::bad_alloc&) {
-        error = http::error::buffer_overflow;
-    }
-    return 0;
-}
-
 void setOption(int socket, int level, int option, int value)
 {
     // Fails only on a closed socket, which the next read or write reports.
@@ -88,15 +73,23 @@
     return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-std::size_t parseBytes(RequestParser& parser, asio::const_buffer bytes, beast::error_code& error)
+template <bool isRequest>
+std::size_t parseBytes(
+    http::parser<isRequest, http::string_body>& parser, asio::const_buffer bytes, beast::error_code& error)
 {
-    return parseWithoutExceptions(parser, bytes, error);
+    // An exception would end the process, not only the connection.
+    try {
+        return parseInSteps(parser, bytes, error);
+    } catch (const std::length_error&) {
+        error = http::error::header_limit;
+    } catch (const std::bad_alloc&) {
+        error = http::error::buffer_overflow;
+    }
+    return 0;
 }
 
-std::size_t parseBytes(ResponseParser& parser, asio::const_buffer bytes, beast::error_code& error)
-{
-    return parseWithoutExceptions(parser, bytes, error);
-}
+template std::size_t parseBytes(RequestParser&, asio::const_buffer, beast::error_code&);
+template std::size_t parseBytes(ResponseParser&, asio::const_buffer, beast::error_code&);
 
 std::string serializeRequest(const Request& request)
 {
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -18,18 +18,18 @@
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
+using RequestParser = http::request_parser<http::string_body>;
+using ResponseParser = http::response_parser<http::string_body>;
 
 /// Time of the steady clock as an absl::Time, for the decision functions. Unrelated to the time of day.
 absl::Time steadyNow();
 
-using RequestParser = http::request_parser<http::string_body>;
-using ResponseParser = http::response_parser<http::string_body>;
-
 /// Passes bytes to a parser and returns how many it has used. Fails with http::error::header_limit if a field
 /// or a trailer is longer than a parsed message can hold, and with buffer_overflow if there is no memory for
 /// the message; the parser must not be used after that.
-std::size_t parseBytes(RequestParser& parser, asio::const_buffer bytes, beast::error_code& error);
-std::size_t parseBytes(ResponseParser& parser, asio::const_buffer bytes, beast::error_code& error);
+template <bool isRequest>
+std::size_t parseBytes(
+    http::parser<isRequest, http::string_body>& parser, asio::const_buffer bytes, beast::error_code& error);
 
 /// Serializes a complete message.
 std::string serializeRequest(const Request& request);
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -305,8 +305,7 @@
         logEvent(LogLevel::Info, "target-changed",
             { { "target", state_.target.lifetime.id }, { "started_at", state_.target.lifetime.startedAt },
                 { "phase", static_cast<int>(state_.target.phase) }, { "sequence", state_.target.sequence },
-                { "slots", state_.target.slots },
-                { "proven", state_.target.isHistoryComplete || state_.target.isReadinessProven },
+                { "slots", state_.target.slots }, { "proven", isProven(state_.target) },
                 { "serving", isServing(state_.target) } });
         onTargetChanged();
     }
@@ -365,10 +364,10 @@
     logEvent(LogLevel::Info, "target-history",
         { { "complete", target.isHistoryComplete }, { "left", left ? left->id : "" } });
     if (left)
-        restoreLeave(state_.target, *left);
+        restoreLeave(target, *left);
     onTargetChanged();
-    if (state_.target.lastLeft) // Known to another node, but perhaps not to the store.
-        storeSync_.recordLeave(*state_.target.lastLeft, [] {});
+    if (target.lastLeft) // Known to another node, but perhaps not to the store.
+        storeSync_.recordLeave(*target.lastLeft, [] {});
 }
 
 void RelayNode::onRegistered(StoreRevision revision)
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -79,7 +79,7 @@
 void StoreSync::runAfter(absl::Duration delay, std::function<void()> step)
 {
     auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(delay));
-    timer->async_wait(whileAlive([timer, step = std::move(step)](beast::error_code error) {
+    timer->async_wait(guard_.wrap([timer, step = std::move(step)](beast::error_code error) {
         if (!error)
             step();
     }));
@@ -151,10 +151,10 @@
     auto written = std::make_shared<std::string>();
     port_.store.update(
         port_.nodeKind, state_.settings.process,
-        [this, written, lifetime = std::weak_ptr(lifetime_)](const std::string& previous) {
+        [this, written, lifetime = guard_.lifetime()](const std::string& previous) {
             return lifetime.expired() ? previous : *written = encodeNodeRecord(previous);
         },
-        whileAlive([this, written, done = std::move(done)](const absl::StatusOr<StoredItem>& stored) {
+        guard_.wrap([this, written, done = std::move(done)](const absl::StatusOr<StoredItem>& stored) {
             if (stored.ok()) {
                 const auto record = decodeMember({ state_.settings.process, 0, *written, false });
                 storedLeave_ = record && !record->leftTarget.empty()
@@ -202,7 +202,7 @@
 {
     const bool mayBeStale = staleReads < kMaxStaleReads;
     port_.store.list(port_.nodeKind, mayBeStale ? ReadConsistency::Stale : ReadConsistency::Latest,
-        whileAlive([this, staleReads, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        guard_.wrap([this, staleReads, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("list-nodes", startedAt, listing.status());
             if (!listing.ok()) {
                 retryLater(nodeFailures_, listing.status(), [this, staleReads] { listNodes(staleReads); });
@@ -303,7 +303,7 @@
 void StoreSync::listConfiguration()
 {
     port_.store.list(port_.configurationKind, ReadConsistency::Latest,
-        whileAlive([this, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        guard_.wrap([this, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("list-configuration", startedAt, listing.status());
             nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
             if (!listing.ok()) {
@@ -323,7 +323,7 @@
     }
     port_.store.watch(port_.configurationKind, after,
         planWatch(state_.decisions.membership, watcherOptions(), isAligned),
-        whileAlive([this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        guard_.wrap([this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
             recordCall("watch", startedAt, listing.status());
             if (listing.ok()) {
                 onListing(*listing);
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -3,6 +3,7 @@
 /// store blocks nothing else.
 #pragma once
 
+#include "relay/callback-guard.h"
 #include "relay/platform-port.h"
 #include "relay/relay-state.h"
 
@@ -73,19 +74,9 @@
     WatcherOptions watcherOptions() const;
     bool isWatcher() const;
 
-    /// Returns a callback that does nothing once this object is destroyed.
-    template <typename Callback> auto whileAlive(Callback callback) const
-    {
-        return
-            [lifetime = std::weak_ptr(lifetime_), callback = std::move(callback)](const auto&... arguments) {
-                if (!lifetime.expired())
-                    callback(arguments...);
-            };
-    }
-
     RelayState& state_;
     const PlatformPort& port_;
-    std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(); ///< Expires with this object.
+    CallbackGuard guard_;
     StoreSyncEvents events_;
     std::string runId_;
     StoreRevision registeredRevision_ = 0; ///< 0 before this node is registered.
--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -357,17 +357,16 @@
     if (connection->exchanges_ == 1)
         timed->repetition.reset();
     timed->timer.expires_after(absl::ToChronoMicroseconds(timed->repetition ? silenceTimeout : timeout));
-    timed->timer.async_wait(
-        [this, timed, connection, lifetime = std::weak_ptr(lifetime_)](beast::error_code error) {
-            if (error || !timed->done || lifetime.expired())
-                return;
-            ExchangeResult timedOut;
-            timedOut.isTimedOut = true;
-            timedOut.isReusedConnection = connection->exchanges_ > 1;
-            connection->cancel();
-            closeUnprovenSince(timed->endpoint, timed->startedAt);
-            finishTimed(*timed, std::move(timedOut));
-        });
+    timed->timer.async_wait(guard_.wrap([this, timed, connection](beast::error_code error) {
+        if (error || !timed->done)
+            return;
+        ExchangeResult timedOut;
+        timedOut.isTimedOut = true;
+        timedOut.isReusedConnection = connection->exchanges_ > 1;
+        connection->cancel();
+        closeUnprovenSince(timed->endpoint, timed->startedAt);
+        finishTimed(*timed, std::move(timedOut));
+    }));
     return connection;
 }
 
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "relay/byte-budget.h"
+#include "relay/callback-guard.h"
 #include "relay/message.h"
 
 #include "absl/container/flat_hash_set.h"
@@ -177,7 +178,7 @@
     std::size_t open_ = 0; ///< Connections that are not closed.
     Tcp::endpoint slowReader_;
     absl::flat_hash_set<UpstreamConnection*> active_; ///< Connections with an exchange in progress.
-    std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(); ///< Expires with this object.
+    CallbackGuard guard_;
     std::map<Tcp::endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
 };
 
--- a/src/target-lifetime.cc
+++ b/src/target-lifetime.cc
@@ -108,11 +108,16 @@
     return wasServing && !isServing(state);
 }
 
+bool isProven(const TargetState& state)
+{
+    return state.isHistoryComplete || state.isReadinessProven;
+}
+
 bool isServing(const TargetState& state)
 {
     if (state.phase != TargetPhase::Ready)
         return false;
-    if (state.isHistoryComplete || state.isReadinessProven)
+    if (isProven(state))
         return true;
     return !state.hasLapsed && (state.isRecordRead || state.readyHeartbeats >= kHeartbeatsWithoutRecord);
 }
--- a/test/destroyed-node-test.cc
+++ b/test/destroyed-node-test.cc
@@ -23,7 +23,9 @@
     // All timers of the node have expired, and a connection waits, when the first handler runs.
     std::this_thread::sleep_for(std::chrono::milliseconds(700));
     runUntil(loop, [&] { return !node.node; });
-    loop.restart();
-    loop.poll();
-    BOOST_TEST(client.is_open());
+    char byte = 0;
+    bool isClosed = false;
+    client.async_read_some(
+        asio::buffer(&byte, 1), [&](beast::error_code error, std::size_t) { isClosed = error.failed(); });
+    runUntil(loop, [&] { return isClosed; });
 }
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -136,20 +136,23 @@
     while (lines.size() < 64U << 10)
         lines += "X: y\r\n";
     std::size_t sentBytes = 0;
-    RawServer server([&](int socket, int) {
-        if (!readHead(socket))
-            return;
-        sendText(socket, "HTTP/1.1 200 OK\r\n");
-        ssize_t sent = 1;
-        for (; sent > 0 && sentBytes < 2 * kLimit;
-             sentBytes += static_cast<std::size_t>(std::max<ssize_t>(0, sent)))
-            sent = send(socket, lines.data(), lines.size(), MSG_NOSIGNAL);
-    });
-    auto exchange = *Exchange::create();
-    exchange->start(requestTo(server.address));
-    exchange->awaitHeaders();
-    BOOST_TEST((exchange->state() == ExchangeState::Lost));
-    exchange.reset();
+    {
+        RawServer server([&](int socket, int) {
+            if (!readHead(socket))
+                return;
+            sendText(socket, "HTTP/1.1 200 OK\r\n");
+            while (sentBytes < 2 * kLimit) {
+                const ssize_t sent = send(socket, lines.data(), lines.size(), MSG_NOSIGNAL);
+                if (sent <= 0)
+                    return;
+                sentBytes += static_cast<std::size_t>(sent);
+            }
+        });
+        auto exchange = *Exchange::create();
+        exchange->start(requestTo(server.address));
+        exchange->awaitHeaders();
+        BOOST_TEST((exchange->state() == ExchangeState::Lost));
+    } // The server's thread has ended.
     BOOST_TEST(sentBytes < kLimit);
 }
 
--- a/test/leave-record-test.cc
+++ b/test/leave-record-test.cc
@@ -95,6 +95,8 @@
     }
 
     bool knowsEachOther() const { return node.node->memberCount() == 2 && other.node->memberCount() == 2; }
+    /// True when the nodes know each other and have heard from the store or each other.
+    bool areConnected() { return knowsEachOther() && isHeard(node) && isHeard(other); }
 
     void restart(TestNode& restarted)
     {
@@ -113,7 +115,7 @@
         if (isPlanned) {
             node.node->stop();
             other.node->stop();
-            runUntil(loop, [&] { return !node.node->self().isServing; });
+            awaitNotServing();
         }
         node.node.reset();
         other.node.reset();
@@ -123,7 +125,7 @@
         loop.poll(); // Lets the client see that its connections are closed.
         isSeparated = store.isUnavailable;
         if (!isSeparated)
-            runUntil(loop, [&] { return knowsEachOther() && isHeard(node) && isHeard(other); });
+            runUntil(loop, [&] { return areConnected(); });
     }
 
     /// A message of the first lifetime.
@@ -155,16 +157,13 @@
         default:
             store.isUnavailable = false;
             isSeparated = false;
-            runUntil(loop, [&] {
-                return knowsEachOther() && isHeard(node) && isHeard(other)
-                    && (!hasLeft || isLost || isLeaveStored());
-            });
+            runUntil(loop, [&] { return areConnected() && (!hasLeft || isLost || isLeaveStored()); });
         }
     }
 
     bool isLeaveStored() { return absl::StrContains(store.content("nodes", "n1"), R"("leftTarget":"t1")"); }
 
-    void awaitUnconfirmed()
+    void awaitNotServing()
     {
         runUntil(loop, [&] { return !node.node->self().isServing; });
     }
@@ -207,7 +206,7 @@
     for (const int sequence : { 8, 9, 7, 10 })
         BOOST_REQUIRE_EQUAL(fleet.heartbeat("ready", sequence), 200U);
     if (fleet.isLost) // These heartbeats are all that the node knows of the target.
-        fleet.awaitUnconfirmed();
+        fleet.awaitNotServing();
     BOOST_TEST(!fleet.node.node->self().isServing);
     BOOST_TEST(fleet.book() == 503U);
     BOOST_TEST(fleet.target.requests.empty());
@@ -260,7 +259,7 @@
     const Request draining { http::verb::post, absl::StrCat("/draining/t1/", fleet.firstStart, "/2"), 11 };
     const auto first = fleet.node.send(fleet.node.settings.heartbeatAddress, draining);
     const auto second = fleet.node.send(fleet.node.settings.heartbeatAddress, draining);
-    runUntil(fleet.loop, [&] { return !fleet.node.node->self().isServing; });
+    fleet.awaitNotServing();
     const int failed = fleet.store.failedUpdates;
     runUntil(fleet.loop, [&] { return fleet.store.failedUpdates > failed + 1; });
     BOOST_TEST(!first->has_value());
--- a/test/unparsable-message-test.cc
+++ b/test/unparsable-message-test.cc
@@ -126,6 +126,32 @@
     return [](const Request& request) { return TargetResponse { sealedResponse(request, "ok") }; };
 }
 
+/// Sends these bytes to the request /read/spoilt, and sound responses to others.
+ScriptedTarget::Script spoiltTarget(const std::string& bytes)
+{
+    return [bytes](const Request& request) {
+        const bool isSpoilt = absl::EndsWith(fromBeast(request.target()), "/spoilt");
+        return isSpoilt ? TargetResponse { bytes, true } : TargetResponse { sealedResponse(request, "ok") };
+    };
+}
+
+/// Result of an exchange with a server that sends these bytes.
+ExchangeResult exchangeWith(const std::string& bytes, const ExchangeRequest& limits, bool closesConnection)
+{
+    asio::io_context loop;
+    ScriptedTarget server(loop, ScriptedTarget::Script([&](const Request&) {
+        return TargetResponse { bytes, closesConnection };
+    }));
+    UpstreamPool pool(loop);
+    std::optional<ExchangeResult> result;
+    ExchangeRequest exchange = limits;
+    exchange.bytes = serializeRequest(callerRequest(http::verb::get, "/", "r"));
+    pool.send(parseEndpoint(server.address()), std::move(exchange),
+        [&](ExchangeResult received) { result = std::move(received); });
+    runUntil(loop, [&] { return result.has_value(); });
+    return *std::move(result);
+}
+
 /// Sends bytes to each port, closes the sending side and waits until the node has closed the connection.
 void sendToEachPort(Node& node, const std::string& bytes)
 {
@@ -165,26 +191,15 @@
 BOOST_DATA_TEST_CASE(
     anUnparsableResponseOfATargetEndsItsCallOnly, boost::unit_test::data::make(kMessages), message)
 {
-    Node node([&](const Request& request) {
-        if (absl::EndsWith(fromBeast(request.target()), "/spoilt"))
-            return TargetResponse {
-                absl::StrCat(
-                    "HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nJackdaw-Request-Id: spoilt\r\n", message.bytes),
-                true
-            };
-        return TargetResponse { sealedResponse(request, "ok") };
-    });
+    Node node(spoiltTarget(
+        absl::StrCat("HTTP/1.1 200 OK\r\nJackdaw-Seal: s\r\nJackdaw-Request-Id: spoilt\r\n", message.bytes)));
     static_cast<void>(node.read("spoilt"));
     BOOST_TEST(node.read("after") == 200U);
 }
 
 BOOST_DATA_TEST_CASE(anUnparsableStatusLineEndsItsCallOnly, boost::unit_test::data::make(kStatusLines), line)
 {
-    Node node([&](const Request& request) {
-        if (absl::EndsWith(fromBeast(request.target()), "/spoilt"))
-            return TargetResponse { line.bytes, true };
-        return TargetResponse { sealedResponse(request, "ok") };
-    });
+    Node node(spoiltTarget(line.bytes));
     static_cast<void>(node.read("spoilt"));
     BOOST_TEST(node.read("after") == 200U);
 }
@@ -193,18 +208,9 @@
 BOOST_DATA_TEST_CASE(
     anUnparsableResponseOfANodeEndsItsExchangeOnly, boost::unit_test::data::make(kMessages), message)
 {
-    asio::io_context loop;
-    ScriptedTarget peer(loop, ScriptedTarget::Script([&](const Request&) {
-        return TargetResponse { absl::StrCat("HTTP/1.1 200 OK\r\n", message.bytes), true };
-    }));
-    UpstreamPool pool(loop);
-    std::optional<ExchangeResult> result;
-    ExchangeRequest exchange;
-    exchange.bytes = serializeRequest(callerRequest(http::verb::get, "/", "r"));
-    exchange.maxHeadBytes = kLargeHeadBytes;
-    pool.send(parseEndpoint(peer.address()), std::move(exchange),
-        [&](ExchangeResult received) { result = std::move(received); });
-    runUntil(loop, [&] { return result.has_value(); });
+    ExchangeRequest limits;
+    limits.maxHeadBytes = kLargeHeadBytes;
+    static_cast<void>(exchangeWith(absl::StrCat("HTTP/1.1 200 OK\r\n", message.bytes), limits, true));
 }
 
 BOOST_DATA_TEST_CASE(
@@ -226,19 +232,8 @@
 BOOST_AUTO_TEST_CASE(aLengthOverTheLimitIsTooLarge)
 {
     for (const char* length : { "999999999999999999", "18446744073709551615", "67108864" }) {
-        asio::io_context loop;
-        ScriptedTarget target(loop, ScriptedTarget::Script([&](const Request&) {
-            return TargetResponse { absl::StrCat(
-                "HTTP/1.1 200 OK\r\nContent-Length: ", length, "\r\n\r\nok") };
-        }));
-        UpstreamPool pool(loop);
-        std::optional<ExchangeResult> result;
-        ExchangeRequest exchange;
-        exchange.bytes = serializeRequest(callerRequest(http::verb::get, "/", "r"));
-        pool.send(parseEndpoint(target.address()), std::move(exchange),
-            [&](ExchangeResult received) { result = std::move(received); });
-        runUntil(loop, [&] { return result.has_value(); });
-        BOOST_TEST((result->status == ExchangeStatus::TooLarge), length);
+        const std::string bytes = absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", length, "\r\n\r\nok");
+        BOOST_TEST((exchangeWith(bytes, {}, false).status == ExchangeStatus::TooLarge), length);
     }
 }
 
