--- a/test/crowd-fixture.h
+++ b/test/crowd-fixture.h
@@ -2,18 +2,11 @@
 /// on the test's event loop, and the crowd. The bounds on memory and descriptors are those of the settings.
 #pragma once
 
+#include "child-process.h"
 #include "crowd.h"
 #include "store-fixture.h"
 #include "wire-names.h"
 
-#include "absl/strings/match.h"
-
-#include <fcntl.h>
-#include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <filesystem>
 #include <fstream>
 
@@ -24,64 +17,6 @@
 inline constexpr int kMemoryMegabytes = 40;
 inline constexpr int kDescriptors = 400;
 
-/// A child process; killed at the end.
-class ChildProcess {
-public:
-    ChildProcess(std::vector<std::string> arguments, const std::string& log)
-    {
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_addopen(
-            &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-        std::vector<char*> pointers;
-        for (std::string& argument : arguments)
-            pointers.push_back(argument.data());
-        pointers.push_back(nullptr);
-        const int error
-            = posix_spawn(&pid_, arguments[0].c_str(), &actions, nullptr, pointers.data(), environ);
-        posix_spawn_file_actions_destroy(&actions);
-        BOOST_REQUIRE_EQUAL(error, 0);
-    }
-    ~ChildProcess()
-    {
-        if (!hasExited())
-            kill(pid_, SIGKILL);
-        waitpid(pid_, nullptr, 0);
-    }
-    ChildProcess(const ChildProcess&) = delete;
-    ChildProcess& operator=(const ChildProcess&) = delete;
-
-    bool hasExited() const
-    {
-        siginfo_t info {};
-        waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT);
-        return info.si_pid != 0;
-    }
-
-    /// Largest resident set so far, in KiB.
-    std::size_t peakResidentKilobytes() const
-    {
-        std::ifstream file(absl::StrCat("/proc/", pid_, "/status"));
-        for (std::string line; std::getline(file, line);) {
-            if (absl::StartsWith(line, "VmHWM:"))
-                return std::stoul(line.substr(6));
-        }
-        return 0;
-    }
-
-    std::size_t openDescriptors() const
-    {
-        std::error_code error; // Fails after the process has ended, which the test checks separately.
-        std::filesystem::directory_iterator entry(absl::StrCat("/proc/", pid_, "/fd"), error);
-        return error ? 0 : static_cast<std::size_t>(std::distance(entry, {}));
-    }
-
-private:
-    pid_t pid_ = 0;
-};
-
 /// Answers of a target: small ones, and large ones on "/read/large".
 inline std::optional<TargetResponse> respondToCrowd(const Request& request)
 {
@@ -100,9 +35,10 @@
         , target_(loop_, respondToCrowd)
         , store_(loop_)
         , clients_(loop_)
+        , reserved_(loop_)
     {
         for (std::string& address : addresses_)
-            address = reserve();
+            address = reserved_.add();
         folder_ = std::filesystem::temp_directory_path() / absl::StrCat("crowd-", getpid());
         std::filesystem::create_directories(folder_);
         const std::string settings = folder_ / "settings.json";
@@ -152,14 +88,6 @@
     }
 
 private:
-    std::string reserve()
-    {
-        Tcp::acceptor& acceptor = reserved_.emplace_back(loop_, Tcp::v4());
-        acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
-        return localAddress(acceptor);
-    }
-
     Json::Value commonSettings() const
     {
         Json::Value value;
@@ -245,7 +173,7 @@
     ScriptedTarget target_;
     HttpStore store_;
     UpstreamPool clients_;
-    std::list<Tcp::acceptor> reserved_; ///< Bound, but not listening: keeps the ports free for the node.
+    ReservedAddresses reserved_;
     std::array<std::string, kPortNames.size()> addresses_;
     std::filesystem::path folder_;
     std::unique_ptr<ChildProcess> process_;
--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -44,6 +44,7 @@
         watches_.clear();
     }
 
+    bool isUnavailable = false; ///< Responds with 503.
     /// The waits that watches of a kind asked for.
     std::vector<absl::Duration> waits;
 
@@ -86,6 +87,10 @@
     {
         if (server_.latestConnection <= silentUpTo_)
             return;
+        if (isUnavailable) {
+            done({ "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" });
+            return;
+        }
         const std::string target(request.target());
         const std::string path = target.substr(target.find("objects/") + 8);
         const std::vector<std::string> parts = absl::StrSplit(path.substr(0, path.find('?')), '/');
