Keep the limit that a target names itself

Cause: the limit is in the responses of a target, and nothing read it. Class: what a target says of itself was heard only in heartbeats.

The target's node, through which all requests pass, enforces the limit as an input of admission: the start of a call takes a token. Other nodes remember what they passed on and send it with their calls, so the limit survives a restart of that node.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -8,6 +8,7 @@
 #include "jackdawwall/customer-queue.h"
 #include "jackdawwall/downstream-limit.h"
 #include "jackdawwall/fair-share.h"
+#include "jackdawwall/target-rate.h"
 
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
@@ -35,6 +36,8 @@
     CostKey cost = 0; ///< Work kind and size bucket.
     absl::Time deadline = absl::InfiniteFuture();
     absl::Duration maximumWait; ///< Longest useful wait; 0: derived from the call times of the target.
+    /// Another target may have room, so the call does not wait for the rate that this target names.
+    bool hasAlternative = false;
 };
 
 struct AdmissionOptions {
@@ -113,6 +116,7 @@
     LimitState limit;
     ShareState share;
     DownstreamLimit downstream;
+    TargetRate rate; ///< That the target names itself.
     bool isDraining = false;
     absl::Time windowStart = absl::InfinitePast();
     absl::Duration totalWait; ///< Of calls started from the queue in this window.
@@ -167,6 +171,9 @@
 /// without customers.
 absl::Duration waitingWork(const AdmissionState& state, Priority priority, std::uint64_t customer);
 
+/// Time until a call of this class would start under the rate that the target names; zero without one.
+absl::Duration timeUntilStart(const AdmissionState& state, Priority priority);
+
 /// Number of calls in progress at the target.
 int inFlight(const AdmissionState& state);
 
--- a/include/jackdawwall/call-flow.h
+++ b/include/jackdawwall/call-flow.h
@@ -17,6 +17,7 @@
 #include "jackdawwall/retry-budget.h"
 #include "jackdawwall/route-table.h"
 #include "jackdawwall/routing.h"
+#include "jackdawwall/target-rate.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
@@ -60,6 +61,8 @@
     std::uint32_t waiting = 0;
     bool hasDownstreamFailure = false;
     std::optional<GateLoad> load {}; ///< Only with Balance::Speed.
+    std::optional<TargetStatement> statement {}; ///< What the target says of itself.
+    absl::Duration retryAfter {}; ///< Refused for the target's own limit: time until it has room.
 };
 
 /// A call that the local target is processing.
@@ -86,6 +89,9 @@
     Generator generator;
     absl::flat_hash_map<CallToken, InboundCall> inbound;
     absl::flat_hash_map<std::string, std::vector<Candidate>> subsets; ///< By service.
+    /// What targets have said of themselves, by the address of their node. A node that restarts hears it from
+    /// the others with their calls.
+    absl::flat_hash_map<std::string, TargetStatement> statements;
 };
 
 NodeDecisions makeNodeDecisions(const Member& self, std::uint64_t seed, absl::Time now);
@@ -129,6 +135,8 @@
     bool isNested = false; ///< Routed: made by the local target.
     absl::Duration latencyObjective; ///< 0 when there is none.
     absl::Time callerDeadline = absl::InfiniteFuture(); ///< The caller stops waiting at this time.
+    /// Shortest time until one of the targets that refused for their own limits has room; 0: none did.
+    absl::Duration retryAfter;
     /// Key of the customer, to check it again when the configuration changes; never sent or logged. Empty
     /// without one.
     std::string key;
@@ -155,6 +163,8 @@
     std::string address;
     std::uint32_t delegated = 0; ///< Extra attempts delegated to the target's node.
     absl::Time at;
+    std::optional<TargetStatement> statement {}; ///< What the target said of itself, for its node.
+    bool hasAlternative = false; ///< Another target may have room, and the call may be sent there.
 };
 
 /// Result of an attempt, as observed by the driver.
--- a/include/jackdawwall/core.h
+++ b/include/jackdawwall/core.h
@@ -37,6 +37,7 @@
     Cancelled,
     ResponseTooLarge,
     KeyWithdrawn,
+    TargetLimit, ///< Over the limit that the target names itself.
 };
 
 /// Text used in response headers, logs and metrics, e.g. "not-run".
--- a/include/jackdawwall/routing.h
+++ b/include/jackdawwall/routing.h
@@ -106,6 +106,12 @@
 int pickTarget(const RoutingState& state, absl::Span<const Candidate> candidates,
     const RoutingRequest& request, Generator& generator, absl::Time now);
 
+/// True if the target gets no work now while others are available.
+bool isAvoided(const RoutingState& state, const std::string& address, absl::Time now);
+
+/// Avoids a target until `until`, or longer if that was known before, while others are available.
+void avoidTarget(RoutingState& state, const std::string& address, absl::Time until);
+
 /// What is assumed of each candidate now, in the same order. For Balance::Speed.
 std::vector<TargetBelief> believedLoads(
     const RoutingState& state, absl::Span<const Candidate> candidates, absl::Time now);
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -11,6 +11,9 @@
 
 /// A call whose rank is not admitted may still wait for this share of its maximum wait.
 constexpr double kAboveFractionWaitShare = 0.3;
+/// Under the rate that a target names, a call is enqueued only if it is expected to start within this share
+/// of its longest wait. The rest is for more urgent calls that come later.
+constexpr double kNewCallWaitShare = 0.8;
 constexpr double kMeanWeight = 0.02;
 constexpr double kDemandWeight = 0.3;
 constexpr std::uint64_t kMaximumSmallBodyBytes = 64ULL << 10;
@@ -71,6 +74,8 @@
 {
     if (inFlight(state) >= currentLimit(state.limit) || !mayStart(state.downstream, call.cost))
         return false;
+    if (timeUntilStart(state.rate, 0) > absl::ZeroDuration())
+        return false;
     return !isLong || state.longInFlight < longCallLimit(state, call.priority);
 }
 
@@ -80,6 +85,7 @@
     state.running.emplace(call.id, running);
     state.longInFlight += isLong ? 1 : 0;
     ++state.startedCount;
+    takeToken(state.rate);
     recordStart(state.limit, inFlight(state));
     recordDownstreamStart(state.downstream, call.cost);
 }
@@ -170,6 +176,15 @@
     return absl::Seconds(seconds / availableSlots(state, call));
 }
 
+/// Number of waiting calls that start before one of this class that is enqueued now.
+std::size_t callsAhead(const AdmissionState& state, Priority priority)
+{
+    std::size_t ahead = 0;
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(priority); ++index)
+        ahead += state.waitingByClass.at(index);
+    return ahead;
+}
+
 /// Expected wait of a call that is enqueued now. With customers, it counts the calls that start before it.
 absl::Duration expectedWait(const AdmissionState& state, const OfferedCall& call)
 {
@@ -178,13 +193,21 @@
         return std::max(drainTime(state, call, workAhead(queue, call.caller)),
             measuredWait(queue, { call.caller, call.weight, expectedSeconds(state, call.cost) }));
     }
-    std::size_t ahead = 0;
-    for (std::size_t index = 0; index <= static_cast<std::size_t>(call.priority); ++index)
-        ahead += state.waitingByClass.at(index);
-    const double rounds = static_cast<double>(ahead) / availableSlots(state, call);
+    const double rounds = static_cast<double>(callsAhead(state, call.priority)) / availableSlots(state, call);
     return absl::Seconds(rounds * state.meanTime);
 }
 
+/// True if the rate that the target names leaves no room for a call that has `ahead` calls before it, and
+/// that may wait for `longestWait` more.
+bool isOverRate(
+    const AdmissionState& state, const OfferedCall& call, std::size_t ahead, absl::Duration longestWait)
+{
+    const absl::Duration wait = timeUntilStart(state.rate, ahead);
+    if (wait == absl::ZeroDuration())
+        return false;
+    return call.hasAlternative || wait > longestWait;
+}
+
 /// A call whose rank is above the admitted fraction is still accepted while waits are short, because upstream
 /// nodes have already done work for it.
 bool isRefusedForOverload(const AdmissionState& state, const OfferedCall& call)
@@ -224,7 +247,7 @@
 /// First queued call that may start now; the end of the queue if there is none.
 absl::btree_set<QueuePosition>::iterator nextStartable(AdmissionState& state)
 {
-    if (inFlight(state) >= currentLimit(state.limit))
+    if (inFlight(state) >= currentLimit(state.limit) || timeUntilStart(state.rate, 0) > absl::ZeroDuration())
         return state.queue.end();
     std::array<bool, kPriorityCount> isLongLimitReached {};
     for (std::size_t index = 0; index < kPriorityCount; ++index)
@@ -280,6 +303,27 @@
         removeWaiting(state, update.refused[index].id);
 }
 
+/// Refuses the queued calls that the rate of the target leaves no room for.
+void refuseOverRate(AdmissionState& state, absl::Time now, QueueUpdate& update)
+{
+    if (!state.rate.callsPerSecond)
+        return;
+    std::size_t ahead = 0;
+    std::vector<CallId> over;
+    for (const QueuePosition& position : state.queue) {
+        const WaitingCall& waiting = state.waiting.at(position.id);
+        const absl::Duration longestWait = waitLimit(state, waiting.call) - (now - waiting.enqueuedAt);
+        if (isOverRate(state, waiting.call, ahead, longestWait))
+            over.push_back(position.id);
+        else
+            ++ahead;
+    }
+    for (const CallId id : over) {
+        removeWaiting(state, id);
+        update.refused.push_back({ id, Reason::TargetLimit });
+    }
+}
+
 absl::Duration meanWait(const AdmissionState& state, absl::Time now)
 {
     absl::Duration sum = state.totalWait;
@@ -364,8 +408,11 @@
     if (call.hasCustomer && !state.hasCustomers)
         startCustomers(state);
     recordDemand(state, call);
+    refill(state.rate, now);
     if (now + absl::Seconds(expectedSeconds(state, call.cost)) > call.deadline)
         return { Verdict::Refuse, Reason::Deadline };
+    if (isOverRate(state, call, callsAhead(state, call.priority), waitLimit(state, call) * kNewCallWaitShare))
+        return { Verdict::Refuse, Reason::TargetLimit };
     if (isRefusedForOverload(state, call))
         return { Verdict::Refuse, Reason::Overload };
     Decision decision { Verdict::Wait, Reason::None };
@@ -403,6 +450,7 @@
         recordCompletion(state, running, downstreamTime, now);
     if (result == RunResult::RefusedByTarget)
         recordTargetRefusal(state.limit);
+    refill(state.rate, now);
     startWaiting(state, now, update);
     return update;
 }
@@ -420,7 +468,9 @@
     QueueUpdate update;
     if (state.windowStart == absl::InfinitePast())
         state.windowStart = now;
+    refill(state.rate, now);
     refuseExpired(state, now, update);
+    refuseOverRate(state, now, update);
     if (now - state.windowStart >= state.options.window)
         endWindow(state, now);
     advanceDownstream(state.downstream, state.options.downstream, now);
@@ -445,6 +495,11 @@
     return found == queue.customers.end() ? absl::ZeroDuration() : absl::Seconds(found->second.seconds);
 }
 
+absl::Duration timeUntilStart(const AdmissionState& state, Priority priority)
+{
+    return timeUntilStart(state.rate, callsAhead(state, priority));
+}
+
 int inFlight(const AdmissionState& state)
 {
     return static_cast<int>(state.running.size());
--- a/src/call-flow.cc
+++ b/src/call-flow.cc
@@ -75,14 +75,16 @@
     if (call.isRouted) // Nodes that refuse are avoided as well, because others may have capacity.
         return result.outcome == Outcome::NotRun || result.outcome == Outcome::Unknown;
     return result.reason == Reason::Unreachable || result.reason == Reason::ConnectionLost
-        || result.reason == Reason::Leaving || result.reason == Reason::TargetShed;
+        || result.reason == Reason::Leaving || result.reason == Reason::TargetShed
+        || result.reason == Reason::TargetLimit;
 }
 
 /// True if nodes refused the call because their targets could not run it in time.
 bool isCapacityFailure(const AttemptResult& result)
 {
     return result.outcome == Outcome::NotRun
-        && (result.reason == Reason::Overload || result.reason == Reason::Deadline);
+        && (result.reason == Reason::Overload || result.reason == Reason::Deadline
+            || result.reason == Reason::TargetLimit);
 }
 
 /// Passes the fraction on to the parent call, which reports it with its response.
@@ -101,6 +103,42 @@
     propagateFraction(decisions, call, feedback.admitFraction);
 }
 
+bool namesLimit(const NodeDecisions& decisions, const std::string& address)
+{
+    const auto known = decisions.statements.find(address);
+    return known != decisions.statements.end() && known->second.callsPerSecond;
+}
+
+/// True if a refusal of the attempt that starts now would be followed by one at a target that may have room:
+/// one that names no limit, or is not known to have used it up.
+bool hasAlternative(const NodeDecisions& decisions, const OutboundCall& call,
+    absl::Span<const Candidate> candidates, absl::Time now)
+{
+    if (!call.isRouted || call.refusals + 1 >= kMaximumRefusals)
+        return false;
+    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        const bool isTried
+            = std::find(call.tried.begin(), call.tried.end(), candidate.address) != call.tried.end();
+        return !isTried
+            && (!namesLimit(decisions, candidate.address)
+                || !isAvoided(decisions.routing, candidate.address, now));
+    });
+}
+
+/// Applies what a target said of itself. A response without a statement ends an earlier one if the target's
+/// node had got that with the attempt.
+void applyStatement(NodeDecisions& decisions, const CallAttempt& attempt,
+    const std::optional<TargetStatement>& statement, absl::Time now)
+{
+    const auto known = decisions.statements.find(attempt.address);
+    if (statement) {
+        decisions.statements[attempt.address] = *statement;
+        decisions.statements[attempt.address].observedAt = now;
+    } else if (known != decisions.statements.end() && attempt.at >= known->second.observedAt) {
+        decisions.statements.erase(known);
+    }
+}
+
 std::optional<CallAttempt> attemptNextTarget(NodeDecisions& decisions, OutboundCall& call, absl::Time now)
 {
     const std::vector<Candidate>& candidates = candidatesFor(decisions, call.service);
@@ -113,6 +151,14 @@
     call.context.allowance = attempt.delegated;
     call.tried.push_back(attempt.address);
     recordAttemptStart(decisions.routing, attempt.address, now);
+    if (const auto known = decisions.statements.find(attempt.address); known != decisions.statements.end()) {
+        attempt.statement = known->second;
+        // No node alone exceeds the limit while other targets have room.
+        if (known->second.callsPerSecond)
+            avoidTarget(
+                decisions.routing, attempt.address, now + callInterval(*known->second.callsPerSecond));
+    }
+    attempt.hasAlternative = hasAlternative(decisions, call, candidates, now);
     const bool isLocal = candidates[static_cast<std::size_t>(index)].isLocal;
     ++(isLocal ? decisions.routing.localStarts : decisions.routing.remoteStarts);
     return attempt;
@@ -122,7 +168,8 @@
 bool isOnlyThisTargetOverloaded(
     const NodeDecisions& decisions, const OutboundCall& call, const AttemptResult& result, absl::Time now)
 {
-    return result.outcome == Outcome::NotRun && result.reason == Reason::Overload && result.nextHopFailed
+    return result.outcome == Outcome::NotRun
+        && (result.reason == Reason::Overload || result.reason == Reason::TargetLimit) && result.nextHopFailed
         && call.context.rank < pathLevel(decisions.routing, call.path, now);
 }
 
@@ -181,6 +228,9 @@
         return member == decisions.membership.members.end()
             || member->second.member.status > MemberStatus::Suspect;
     });
+    // A node that left or is taken for dead may return, beside the same target.
+    absl::erase_if(decisions.statements,
+        [&](const auto& item) { return !decisions.membership.members.contains(item.first); });
 }
 
 const std::vector<Candidate>& candidatesFor(NodeDecisions& decisions, const std::string& service)
@@ -294,6 +344,14 @@
     const AttemptObservation observation { hasRun, isTargetAtFault(call, report.result), now - attempt.at,
         waiting, report.feedback ? report.feedback->load : std::nullopt };
     recordAttemptEnd(decisions.routing, attempt.address, observation, now);
+    if (report.feedback)
+        applyStatement(decisions, attempt, report.feedback->statement, now);
+    if (report.feedback && report.result.reason == Reason::TargetLimit) {
+        const absl::Duration retryAfter = report.feedback->retryAfter;
+        avoidTarget(decisions.routing, attempt.address, now + retryAfter);
+        call.retryAfter
+            = call.retryAfter == absl::ZeroDuration() ? retryAfter : std::min(call.retryAfter, retryAfter);
+    }
     call.arrivals += report.hasArrived ? 1 : 0;
     call.hasLastAttemptArrived = report.hasArrived;
     if (call.isNested && report.hasResponse && report.hasArrived)
--- a/src/core.cc
+++ b/src/core.cc
@@ -8,10 +8,10 @@
 namespace {
 
 constexpr std::array<absl::string_view, 4> kOutcomeTexts { "ok", "not-run", "failed", "unknown" };
-constexpr std::array<absl::string_view, 19> kReasonTexts { "none", "overload", "caller-limit", "retry-limit",
+constexpr std::array<absl::string_view, 20> kReasonTexts { "none", "overload", "caller-limit", "retry-limit",
     "deadline", "leaving", "no-target", "unreachable", "target-shed", "target-failed", "connection-lost",
     "truncated", "timeout", "duplicate", "platform-unavailable", "bad-request", "cancelled",
-    "response-too-large", "key-withdrawn" };
+    "response-too-large", "key-withdrawn", "target-limit" };
 constexpr std::array<absl::string_view, kPriorityCount> kPriorityTexts { "critical", "interactive", "browse",
     "bulk" };
 
--- a/src/node/call-headers.h
+++ b/src/node/call-headers.h
@@ -13,6 +13,8 @@
 // Sent to targets. A target copies Jackdaw-Parent to the calls that it makes itself.
 inline constexpr const char* kParentHeader = "Jackdaw-Parent";
 inline constexpr const char* kNodeHeader = "Jackdaw-Node";
+// Sent by targets with their responses: requests per second that they take.
+inline constexpr const char* kLimitHeader = "Jackdaw-Limit";
 // Sent with responses.
 inline constexpr const char* kOutcomeHeader = "Jackdaw-Outcome";
 inline constexpr const char* kReasonHeader = "Jackdaw-Reason";
--- a/src/node/catalogue-interface.cc
+++ b/src/node/catalogue-interface.cc
@@ -107,6 +107,7 @@
     case Reason::Overload:
     case Reason::CallerLimit:
     case Reason::RetryLimit:
+    case Reason::TargetLimit:
         return 1000;
     case Reason::Leaving:
     case Reason::Unreachable:
@@ -143,7 +144,8 @@
                 failure.detail.empty() ? toText(failure.reason) : failure.detail, "\n"));
     relay::setHeader(response, kOutcomeHeader, toText(failure.outcome));
     relay::setHeader(response, kReasonHeader, toText(failure.reason));
-    const int delayMs = retryAfterMs(failure.reason);
+    const int delayMs = std::max(
+        retryAfterMs(failure.reason), static_cast<int>(absl::ToInt64Milliseconds(failure.retryAfter)));
     if (delayMs > 0)
         relay::setHeader(response, kRetryAfterHeader, absl::StrCat(delayMs));
     return response;
@@ -244,6 +246,7 @@
     names.notRun = kOutcomeHeader;
     names.notRunValue = std::string(toText(Outcome::NotRun));
     names.expectTarget.clear();
+    names.limit = kLimitHeader;
     names.kind = kKindHeader;
     names.parent = kParentHeader;
     names.node = kNodeHeader;
--- a/src/relay/caller-call.cc
+++ b/src/relay/caller-call.cc
@@ -136,12 +136,14 @@
         });
 }
 
-GateCall CallerCall::makeGateCall() const
+GateCall CallerCall::makeGateCall(const CallAttempt& attempt) const
 {
     GateCall call;
     call.request = request_;
     call.context = call_.context;
     call.arrivals = call_.arrivals;
+    call.statement = attempt.statement;
+    call.hasAlternative = attempt.hasAlternative;
     if (call_.latencyObjective == absl::ZeroDuration())
         return call;
     const absl::Time now = steadyNow();
@@ -192,17 +194,17 @@
     if (attempt.address != state_.decisions.membership.self)
         sendToPeer(pending);
     else
-        pending->gateId
-            = state_.gate.offer(makeGateCall(), [self = shared_from_this(), pending](GateResult result) {
-                  self->onResult(pending, std::move(result));
-              });
+        pending->gateId = state_.gate.offer(
+            makeGateCall(attempt), [self = shared_from_this(), pending](GateResult result) {
+                self->onResult(pending, std::move(result));
+            });
     scheduleHedge(pending);
 }
 
 void CallerCall::sendToPeer(const PendingAttemptPtr& pending)
 {
     ExchangeRequest exchange;
-    exchange.bytes = encodeCallHead(makeGateCall(), call_.service, steadyNow());
+    exchange.bytes = encodeCallHead(makeGateCall(pending->attempt), call_.service, steadyNow());
     exchange.body = { request_, &request_->body() };
     exchange.isHeadRequest = request_->method() == http::verb::head;
     exchange.connectTimeout = kPeerConnectTimeout;
@@ -277,7 +279,8 @@
     if (end.outcome == Outcome::NotRun && releaseClaim_)
         releaseClaim_();
     Response response = interface_.makeFailureResponse(
-        { end.outcome, end.reason, detail, retryAfter }, call_.callerDeadline - steadyNow());
+        { end.outcome, end.reason, detail, std::max(retryAfter, call_.retryAfter) },
+        call_.callerDeadline - steadyNow());
     close(end, response.result_int());
     incoming_->respond(std::move(response));
 }
--- a/src/relay/caller-call.h
+++ b/src/relay/caller-call.h
@@ -42,7 +42,7 @@
     void send(const CallAttempt& attempt);
     void sendToPeer(const PendingAttemptPtr& pending);
     void scheduleHedge(const PendingAttemptPtr& pending);
-    GateCall makeGateCall() const;
+    GateCall makeGateCall(const CallAttempt& attempt) const;
     void onResult(const PendingAttemptPtr& pending, GateResult result);
     void complete(GateResult result, const AttemptResult& end);
     void fail(const AttemptResult& end, const std::string& detail = "", absl::Duration retryAfter = {});
--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -1,11 +1,13 @@
 #include "relay/hop-wire.h"
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace jackdawwall::relay {
@@ -17,6 +19,9 @@
 constexpr std::size_t kChainFieldCount = 5;
 constexpr std::size_t kFeedbackFieldCount = 4;
 constexpr std::size_t kLoadFieldCount = 5;
+constexpr std::size_t kStatementFieldCount = 4;
+/// An older statement counts as this old.
+constexpr std::uint64_t kMaxStatementAgeMs = 24ULL * 3600 * 1000;
 
 /// Parses integers separated by commas; empty for any other text.
 std::vector<std::uint32_t> parseNumbers(absl::string_view text)
@@ -38,6 +43,32 @@
         || context.allowance != 0 || context.depth != 0;
 }
 
+/// "STARTED_AT,AGE_MS,RATE,ID": RATE is empty without a limit, and ID is hex.
+std::string encodeStatement(const TargetStatement& statement, absl::Time now)
+{
+    const std::int64_t age = absl::ToInt64Milliseconds(now - statement.observedAt);
+    return absl::StrCat(statement.lifetime.startedAt, ",", std::max<std::int64_t>(0, age), ",",
+        statement.callsPerSecond ? absl::StrCat(*statement.callsPerSecond) : "", ",",
+        absl::BytesToHexString(statement.lifetime.id));
+}
+
+/// Inverse of encodeStatement; empty for any other text.
+std::optional<TargetStatement> decodeStatement(absl::string_view text, absl::Time now)
+{
+    const std::vector<absl::string_view> parts = absl::StrSplit(text, ',');
+    TargetStatement statement;
+    std::uint64_t age = 0;
+    if (parts.size() != kStatementFieldCount || !absl::SimpleAtoi(parts[0], &statement.lifetime.startedAt)
+        || !absl::SimpleAtoi(parts[1], &age))
+        return std::nullopt;
+    statement.observedAt = now - absl::Milliseconds(std::min<std::uint64_t>(age, kMaxStatementAgeMs));
+    double rate = 0;
+    if (absl::SimpleAtod(parts[2], &rate) && rate >= 0 && std::isfinite(rate))
+        statement.callsPerSecond = rate;
+    statement.lifetime.id = absl::HexStringToBytes(parts[3]);
+    return statement;
+}
+
 void removeHeaders(http::fields& fields, std::initializer_list<const char*> names)
 {
     for (const char* name : names)
@@ -61,7 +92,12 @@
             head, kLatencyObjectiveHeader, absl::StrCat(absl::ToInt64Milliseconds(call.latencyObjective)));
     setHeader(head, kArrivalsHeader, absl::StrCat(call.arrivals));
     setHeader(head, kCallerHeader, context.caller);
-    removeHeaders(head, { kCustomerHeader, kRunCustomerHeader }); // Of the client.
+    removeHeaders( // Of the client.
+        head, { kCustomerHeader, kRunCustomerHeader, kStatementHeader, kAlternativeHeader });
+    if (call.statement)
+        setHeader(head, kStatementHeader, encodeStatement(*call.statement, now));
+    if (call.hasAlternative)
+        setHeader(head, kAlternativeHeader, "1");
     if (!context.customer.empty())
         setHeader(head, context.isCustomerOfRun ? kRunCustomerHeader : kCustomerHeader, context.customer);
     if (hasNonDefaultChain(context))
@@ -100,10 +136,12 @@
     }
     hop.call.arrivals = static_cast<int>(integerHeader(request, kArrivalsHeader, 0));
     hop.call.latencyObjective = absl::Milliseconds(integerHeader(request, kLatencyObjectiveHeader, 0));
+    hop.call.statement = decodeStatement(headerValue(request, kStatementHeader), now);
+    hop.call.hasAlternative = headerValue(request, kAlternativeHeader) == "1";
     removeHeaders(request,
         { kServiceHeader, kRouteHeader, kPriorityHeader, kIdempotentHeader, kRemainingTimeHeader,
             kLatencyObjectiveHeader, kArrivalsHeader, kCallerHeader, kCustomerHeader, kRunCustomerHeader,
-            kChainHeader });
+            kChainHeader, kStatementHeader, kAlternativeHeader });
     hop.call.request = std::make_shared<const Request>(std::move(request));
     return hop;
 }
@@ -124,6 +162,12 @@
             absl::StrJoin({ feedback.unusedAllowance, feedback.admitFraction, feedback.inFlight,
                               feedback.hasDownstreamFailure ? 1U : 0U },
                 ","));
+    removeHeaders(response, { kStatementHeader, kRetryAfterHeader }); // Of the target.
+    if (feedback.statement)
+        setHeader(
+            response, kStatementHeader, encodeStatement(*feedback.statement, feedback.statement->observedAt));
+    if (feedback.retryAfter > absl::ZeroDuration())
+        setHeader(response, kRetryAfterHeader, absl::StrCat(absl::ToInt64Milliseconds(feedback.retryAfter)));
     if (feedback.load)
         setHeader(response, kLoadHeader,
             absl::StrJoin({ feedback.load->running, feedback.load->limit, feedback.load->waiting,
@@ -162,8 +206,12 @@
     const std::vector<std::uint32_t> load = parseNumbers(headerValue(result.response, kLoadHeader));
     if (load.size() == kLoadFieldCount)
         decoded.feedback.load = GateLoad { load[0], load[1], load[2], load[3], load[4] };
-    removeHeaders(
-        result.response, { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader, kLoadHeader });
+    decoded.feedback.statement = decodeStatement(headerValue(result.response, kStatementHeader), steadyNow());
+    decoded.feedback.retryAfter
+        = absl::Milliseconds(std::max<std::int64_t>(0, integerHeader(result.response, kRetryAfterHeader, 0)));
+    removeHeaders(result.response,
+        { kEndHeader, kReasonHeader, kWaitingHeader, kFeedbackHeader, kLoadHeader, kStatementHeader,
+            kRetryAfterHeader });
     decoded.response = std::move(result.response);
     decoded.reservation = std::move(result.reservation);
     return decoded;
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -16,6 +16,8 @@
     std::string notRun = "Jackdaw-Not-Run"; ///< Set by a target that did not run the request.
     std::string notRunValue; ///< Required value of `notRun`; empty accepts any value.
     std::string expectTarget = "Jackdaw-Expect-Target"; ///< Id of the one target that may run the request.
+    std::string limit
+        = "Jackdaw-Limit"; ///< Requests per second that a target takes; sent with its responses.
     std::string kind; ///< Kind of work.
     std::string parent; ///< Token that the target echoes on its own calls.
     std::string node; ///< Address to which the target sends its own calls.
@@ -45,6 +47,11 @@
 /// Running calls, limit, queued calls, mean call time (us) of the gate and the time (us) that it held the
 /// call; only with the setting `balance`.
 inline constexpr char kLoadHeader[] = "Jackdaw-Hop-Load";
+/// What the target has said of itself (TargetStatement). On responses as its node knows it, on calls as the
+/// caller's node knows it.
+inline constexpr char kStatementHeader[] = "Jackdaw-Hop-Statement";
+inline constexpr char kAlternativeHeader[] = "Jackdaw-Hop-Alternative"; ///< See GateCall::hasAlternative.
+inline constexpr char kRetryAfterHeader[] = "Jackdaw-Hop-Retry-Ms"; ///< See CallFeedback::retryAfter.
 inline constexpr char kMembershipUpdateHeader[] = "Jackdaw-Hop-News"; ///< Marks a membership message.
 inline constexpr char kLeaseHeader[] = "Jackdaw-Hop-Lease"; ///< Marks lease requests of a node.
 
--- a/src/relay/operator-port.cc
+++ b/src/relay/operator-port.cc
@@ -18,6 +18,8 @@
     value["limit"] = currentLimit(admission.limit);
     value["inFlight"] = inFlight(admission);
     value["waiting"] = Json::UInt64(admission.waiting.size());
+    if (admission.rate.callsPerSecond)
+        value["targetLimitPerSecond"] = *admission.rate.callsPerSecond;
     value["refusing"] = admission.share.isOverloaded;
     std::array<std::uint32_t, kPriorityCount> minFractions {};
     minFractions.fill(kRankCount);
@@ -139,6 +141,9 @@
                          state.configuration.version),
             gauge("jackdaw_limit", "Calls that may be in the own target.",
                 currentLimit(decisions.admission.limit)),
+            gauge("jackdaw_target_limit",
+                "Calls per second that the own target takes by its own word; -1: any.",
+                decisions.admission.rate.callsPerSecond.value_or(-1)),
             gauge("jackdaw_target_running", "Calls in the own target.", inFlight(decisions.admission)),
             gauge("jackdaw_target_waiting", "Calls that wait for the own target.",
                 decisions.admission.waiting.size()),
--- a/src/relay/routed-interface.cc
+++ b/src/relay/routed-interface.cc
@@ -8,6 +8,7 @@
 namespace jackdawwall::relay {
 namespace {
 
+/// Unless it is known that there is no room sooner.
 constexpr absl::Duration kMaxRetryAfter = absl::Milliseconds(1000);
 /// Largest share of the remaining time that a caller is asked to wait before it retries. Callers respect a
 /// Retry-After of up to a third of it.
@@ -133,8 +134,9 @@
     if (failure.reason == Reason::CallerLimit)
         return makeTextResponse(
             http::status::too_many_requests, "not run; over the rate limit\n", failure.retryAfter);
+    const absl::Duration wait = std::max(kMaxRetryAfter, failure.retryAfter);
     const absl::Duration retryAfter
-        = std::max(absl::Milliseconds(1), std::min(kMaxRetryAfter, callerRemainingTime * kRetryAfterShare));
+        = std::max(absl::Milliseconds(1), std::min(wait, callerRemainingTime * kRetryAfterShare));
     return makeTextResponse(http::status::service_unavailable, "not run; come back later\n", retryAfter);
 }
 
--- a/src/relay/target-gate.cc
+++ b/src/relay/target-gate.cc
@@ -22,6 +22,8 @@
 constexpr unsigned kInternalServerError = 500;
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kMaxIdleTimeIdempotent = absl::Seconds(30);
+/// Part of a value that can't be read that is logged.
+constexpr std::size_t kMaxLoggedText = 64;
 
 bool isSuccess(const Response& response)
 {
@@ -82,12 +84,15 @@
     pending->done = std::move(done);
     pending->offeredAt = now;
     calls_.emplace(id, pending);
+    if (pending->call.statement)
+        applyStatement(*pending->call.statement);
     if (!isServing(target_)) {
         refuse(id, target_.phase == TargetPhase::Leaving ? Reason::Leaving : Reason::NoTarget);
         return id;
     }
     AdmissionState& admission = decisions_.admission;
     OfferedCall offered = makeOfferedCall(pending->call.context, id, pending->call.request->body().size());
+    offered.hasAlternative = pending->call.hasAlternative;
     if (pending->call.latencyObjective > absl::ZeroDuration())
         offered.maximumWait = std::max(kMinQueueTime,
             pending->call.latencyObjective
@@ -122,6 +127,8 @@
     if (!options_.names.parent.empty())
         pending->token = openInbound(decisions_, context);
     countOffer(*pending, Outcome::Ok, Reason::None);
+    pending->sentAt = now;
+    pending->sentTo = target_.lifetime;
     ExchangeRequest exchange;
     exchange.bytes = serializeRequestHead(*pending, now);
     exchange.body = { pending->call.request, &pending->call.request->body() };
@@ -160,15 +167,71 @@
     return serializeHead(head);
 }
 
+void TargetGate::applyResponse(const PendingCall& pending, const Response& response)
+{
+    // A response to a call for another lifetime, as after a change of the target at this address.
+    if (pending.sentTo != target_.lifetime || response.result() == http::status::misdirected_request)
+        return;
+    if (!options_.names.limit.empty())
+        applyNamedRate(pending, response);
+}
+
+void TargetGate::applyNamedRate(const PendingCall& pending, const Response& response)
+{
+    const std::string& name = options_.names.limit;
+    const std::size_t count = response.count(toBeast(name));
+    const absl::string_view text = headerValue(response, name);
+    const std::optional<double> named = count == 1 ? parseTargetRate(text) : std::nullopt;
+    if (count > 0 && !named) {
+        log_.record("target-limit-unreadable", pending.call.context.requestId, false,
+            { { "request", pending.call.context.requestId }, { "target", target_.lifetime.id },
+                { "values", count }, { "limit", text.substr(0, kMaxLoggedText) } });
+        return;
+    }
+    TargetRate& rate = decisions_.admission.rate;
+    const std::optional<double> before = rate.callsPerSecond;
+    logRateChange(recordNamedRate(rate, named, pending.sentAt, steadyNow()), before);
+}
+
+void TargetGate::applyStatement(const TargetStatement& statement)
+{
+    if (!statement.callsPerSecond || statement.lifetime != target_.lifetime)
+        return;
+    TargetRate& rate = decisions_.admission.rate;
+    const std::optional<double> before = rate.callsPerSecond;
+    logRateChange(adoptNamedRate(rate, *statement.callsPerSecond, statement.observedAt, steadyNow()), before);
+}
+
+void TargetGate::logRateChange(RateChange change, std::optional<double> before) const
+{
+    if (change == RateChange::None)
+        return;
+    const absl::string_view event = change == RateChange::Started ? "target-limit-started"
+        : change == RateChange::Changed                           ? "target-limit-changed"
+                                                                  : "target-limit-ended";
+    logEvent(LogLevel::Info, event,
+        { { "target", target_.lifetime.id },
+            { "limit_per_s", decisions_.admission.rate.callsPerSecond.value_or(0) },
+            { "before", before.value_or(0) }, { "running", running() }, { "waiting", waiting() } });
+}
+
+std::optional<TargetStatement> TargetGate::statement() const
+{
+    if (!decisions_.admission.rate.callsPerSecond)
+        return std::nullopt;
+    return TargetStatement { target_.lifetime, decisions_.admission.rate.callsPerSecond, steadyNow() };
+}
+
 /// Feedback that the response passes back up the call chain.
 CallFeedback TargetGate::feedback(const PendingCall& pending)
 {
-    if (options_.names.parent.empty()) {
-        CallFeedback result;
+    CallFeedback result;
+    if (options_.names.parent.empty())
         result.waiting = static_cast<std::uint32_t>(waiting());
-        return result;
-    }
-    return feedbackFor(decisions_, pending.call.context, pending.token);
+    else
+        result = feedbackFor(decisions_, pending.call.context, pending.token);
+    result.statement = statement();
+    return result;
 }
 
 /// Ends the run. Returns the time that the target spent waiting for its own calls.
@@ -213,7 +276,11 @@
         return;
     const std::shared_ptr<PendingCall> pending = found->second;
     const unsigned httpStatus = result.response.result_int();
+    const bool isComplete = result.status == ExchangeStatus::Complete;
     GateResult classified = classifyResponse(*pending, result);
+    if (isComplete && classified.status != GateStatus::Unknown)
+        applyResponse(
+            *pending, classified.status == GateStatus::Answered ? classified.response : result.response);
     RunResult runResult = RunResult::Aborted;
     if (classified.status == GateStatus::Answered)
         runResult = httpStatus < kInternalServerError ? RunResult::Completed : RunResult::Failed;
@@ -265,6 +332,8 @@
                     fairnessKey(pending->call.context))) },
             { "left_ms", absl::ToInt64Milliseconds(pending->call.context.deadline - steadyNow()) } });
     GateResult result { GateStatus::Refused, reason, {}, feedback(*pending) };
+    if (reason == Reason::TargetLimit)
+        result.feedback.retryAfter = timeUntilStart(decisions_.admission, pending->call.context.priority);
     result.feedback.load = gateLoad(decisions_, steadyNow() - pending->offeredAt);
     pending->done(std::move(result));
 }
@@ -305,8 +374,12 @@
 {
     const bool wasServing = isServing(target_);
     const bool isNew = target.lifetime != target_.lifetime;
-    target_ = target;
     AdmissionState& admission = decisions_.admission;
+    if (isNew) {
+        const std::optional<double> before = std::exchange(admission.rate, {}).callsPerSecond;
+        logRateChange(before ? RateChange::Ended : RateChange::None, before);
+    }
+    target_ = target;
     if (isNew && target.slots > 0) {
         LimitOptions& limit = admission.options.limit;
         limit.initial = target.slots;
--- a/src/relay/target-gate.h
+++ b/src/relay/target-gate.h
@@ -27,6 +27,8 @@
     CallContext context;
     int arrivals = 0; ///< Number of targets that the request reached, or may have reached, before.
     absl::Duration latencyObjective; ///< Remaining part of the latency objective; 0 when there is none.
+    std::optional<TargetStatement> statement {}; ///< What the caller's node knows from the target.
+    bool hasAlternative = false; ///< Refuse the call rather than let it wait for the target's own limit.
 };
 
 enum class GateStatus : std::uint8_t {
@@ -105,6 +107,8 @@
         CallToken token = 0; ///< Set while the call runs in a target that may make calls itself.
         std::optional<absl::Time> runLimit; ///< Time limit under which the run is registered in `runs_`.
         absl::Time offeredAt;
+        absl::Time sentAt = absl::InfinitePast();
+        Lifetime sentTo; ///< Lifetime of the target when the call was sent.
     };
 
     void run(CallId id);
@@ -115,6 +119,14 @@
     void countOffer(const PendingCall& pending, Outcome outcome, Reason reason);
     void apply(const QueueUpdate& update);
     std::string serializeRequestHead(PendingCall& pending, absl::Time now);
+    /// Applies what the target says of itself in a response.
+    void applyResponse(const PendingCall& pending, const Response& response);
+    void applyNamedRate(const PendingCall& pending, const Response& response);
+    /// Applies what the caller's node knows of the target, as after a restart of this node.
+    void applyStatement(const TargetStatement& statement);
+    void logRateChange(RateChange change, std::optional<double> before) const;
+    /// What the target has said of itself, if that is of concern to callers' nodes.
+    std::optional<TargetStatement> statement() const;
     CallFeedback feedback(const PendingCall& pending);
     absl::Duration endRun(const PendingCall& pending);
 
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -37,12 +37,6 @@
     return found == state.targets.end() ? nullptr : &found->second;
 }
 
-bool isAvoided(const RoutingState& state, const std::string& address, absl::Time now)
-{
-    const TargetView* view = findTargetView(state, address);
-    return view != nullptr && now < view->avoidUntil;
-}
-
 std::vector<int> usableCandidates(const RoutingState& state, absl::Span<const Candidate> candidates,
     absl::Span<const std::string> excluded, absl::Time now)
 {
@@ -246,6 +240,18 @@
     return leftSeconds <= rightSeconds ? left : right;
 }
 
+bool isAvoided(const RoutingState& state, const std::string& address, absl::Time now)
+{
+    const TargetView* view = findTargetView(state, address);
+    return view != nullptr && now < view->avoidUntil;
+}
+
+void avoidTarget(RoutingState& state, const std::string& address, absl::Time until)
+{
+    absl::Time& avoidUntil = state.targets[address].avoidUntil;
+    avoidUntil = std::max(avoidUntil, until);
+}
+
 std::vector<TargetBelief> believedLoads(
     const RoutingState& state, absl::Span<const Candidate> candidates, absl::Time now)
 {
@@ -288,7 +294,7 @@
         recordLoadReport(
             view.load, state.options.load, *observation.load, view.inFlight, observation.latency, now);
     if (observation.isTargetAtFault)
-        view.avoidUntil = now + state.options.failureBackoff;
+        avoidTarget(state, address, now + state.options.failureBackoff);
     if (!observation.hasResponse)
         return;
     const double before = decayedLatency(state, view, now);
--- a/test/target-limit-process-test.cc
+++ b/test/target-limit-process-test.cc
@@ -117,6 +117,10 @@
     // The limit does not cut a target off.
     BOOST_TEST(fleet.targets[0]->arrivalsSince(learntAt) > 0);
     fleet.awaitResponses();
+    for (const auto& [status, count] : fleet.record.byStatus)
+        BOOST_TEST_MESSAGE(row.name << ": status " << status << " " << count << " times");
+    BOOST_TEST_MESSAGE(row.name << ": longest refusal " << fleet.record.longestRefusal);
+    BOOST_TEST(!fleet.record.byStatus.contains(504));
     if (row.servesAll)
         BOOST_TEST((fleet.record.byStatus.size() == 1 && fleet.record.byStatus.contains(200)));
     BOOST_TEST(fleet.record.withoutRetryAfter == 0);
