--- a/test/store-fixture.h
+++ b/test/store-fixture.h
@@ -37,6 +37,25 @@
         }
     }
 
+    /// What the store holds at a moment.
+    struct Copy;
+    Copy copy() const;
+    /// Comes back from a copy: later changes are gone, and their revisions are given out again.
+    void restore(const Copy& copy);
+
+    /// Content of an object as the store sends it; empty if there is none.
+    std::string content(const std::string& kind, const std::string& name) const
+    {
+        const auto objects = objects_.find(kind);
+        if (objects == objects_.end() || !objects->second.contains(name))
+            return "";
+        return objects->second.at(name).text;
+    }
+
+    StoreRevision revision() const { return revision_; }
+    /// Number of watches that wait for a change.
+    std::size_t watching() const { return watches_.size(); }
+
     /// Never responds again on the connections that are open now. New connections work.
     void silenceConnections()
     {
@@ -59,16 +78,13 @@
         std::function<void(TargetResponse)> done;
     };
 
-    static TargetResponse ok(const std::string& body)
+    TargetResponse response(absl::string_view status, const std::string& body = "") const
     {
-        return { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
-    }
-
-    static TargetResponse conflict(const std::string& object)
-    {
-        return { absl::StrCat(
-            "HTTP/1.1 409 Conflict\r\nContent-Length: ", object.size(), "\r\n\r\n", object) };
+        return { absl::StrCat("HTTP/1.1 ", status, "\r\nStore-Era: ", era_,
+            "\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
     }
+    TargetResponse ok(const std::string& body) const { return response("200 OK", body); }
+    TargetResponse unavailable() const { return response("503 Service Unavailable"); }
 
     TargetResponse reply(const std::string& list, const std::string& kind, StoreRevision after)
     {
@@ -88,7 +104,7 @@
         if (server_.latestConnection <= silentUpTo_)
             return;
         if (isUnavailable) {
-            done({ "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" });
+            done(unavailable());
             return;
         }
         const std::string target(request.target());
@@ -99,6 +115,10 @@
         } else if (const std::size_t position = target.find("wait_ms="); position != std::string::npos) {
             waits.push_back(absl::Milliseconds(std::stoll(target.substr(position + 8))));
             const StoreRevision after = std::stoull(target.substr(target.find("watch=") + 6));
+            if (after > revision_) {
+                done(response("410 Gone"));
+                return;
+            }
             const auto& objects = objects_[parts[0]];
             const bool hasChanged = std::any_of(objects.begin(), objects.end(),
                 [&](const auto& item) { return item.second.revision > after; });
@@ -108,9 +128,7 @@
                 watches_.push_back({ parts[0], after, done });
         } else if (parts.size() > 1) {
             const auto found = objects_[parts[0]].find(parts[1]);
-            done(found == objects_[parts[0]].end()
-                    ? TargetResponse { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n" }
-                    : ok(found->second.text));
+            done(found == objects_[parts[0]].end() ? response("404 Not Found") : ok(found->second.text));
         } else {
             done(reply("items", parts[0], 0));
         }
@@ -123,13 +141,13 @@
         const std::string name = (*body)["metadata"]["name"].asString();
         const auto existing = objects_[kind].find(name);
         if (request.method() == http::verb::post && existing != objects_[kind].end()) {
-            done(conflict(existing->second.text));
+            done(response("409 Conflict", existing->second.text));
             return;
         }
         const Json::Value& revision = (*body)["metadata"]["revision"];
         if (!revision.isNull() && existing != objects_[kind].end()
             && revision.asUInt64() != existing->second.revision) {
-            done(conflict(existing->second.text));
+            done(response("409 Conflict", existing->second.text));
             return;
         }
         set(kind, name, canonicalJson((*body)["spec"]));
@@ -138,11 +156,31 @@
 
     ScriptedTarget server_;
     StoreRevision revision_ = 1;
+    std::uint64_t era_ = 1; ///< Rises with each restore.
     int silentUpTo_ = 0; ///< Connections up to this number are silent.
     std::map<std::string, std::map<std::string, Object>> objects_;
     std::vector<Watch> watches_;
 };
 
+struct HttpStore::Copy {
+    StoreRevision revision = 0;
+    std::map<std::string, std::map<std::string, Object>> objects;
+};
+
+inline HttpStore::Copy HttpStore::copy() const
+{
+    return { revision_, objects_ };
+}
+
+inline void HttpStore::restore(const Copy& copy)
+{
+    revision_ = copy.revision;
+    objects_ = copy.objects;
+    ++era_;
+    for (const Watch& watch : std::exchange(watches_, {}))
+        watch.done(unavailable());
+}
+
 /// Makes a node use the platform's decoder of configurations instead of that of the tests.
 inline void usePlatformDecoder(TestNode& node)
 {
