Keep facts about the store by its era

What callers would see: after the store has come back from a copy some seconds old, a version that was acknowledged is never applied (watches go on from a revision that was given out again), and a target that had left gets requests once all nodes have restarted (its leave was in the lost seconds).

Cause: revisions, and that a leave is stored, were kept without the era of the store that they belong to. Class: a fact of another process is kept without what it depends on.

A later era, from a response or another node, makes watchers list instead of going on, and nodes write their records again; a watch that failed lists as well. A record of an earlier era is no history for a starting node.

The fixture's target now starts an hour earlier, as its start would prove that it has not left.

--- a/src/relay/peer-link.cc
+++ b/src/relay/peer-link.cc
@@ -181,6 +181,7 @@
     message.upTo = upTo;
     message.acknowledgedUpTo = neighbour.appliedUpTo;
     message.version = state_.configuration.version;
+    message.storeEra = state_.storeEra;
     const bool isBehind = neighbour.configurationVersion < state_.configuration.version
         && (isReply || neighbour.configurationVersion > 0);
     if (isBehind)
@@ -231,6 +232,8 @@
     if (left || knowsEarlierProcess || isComplete)
         events_.onPreviousLeave(left, isComplete);
     merge(reported);
+    if (message->storeEra > state_.storeEra)
+        events_.onStoreEra(message->storeEra);
     if (!message->configuration.empty())
         events_.onConfiguration(message->configuration, sender);
     return true;
--- a/src/relay/peer-link.h
+++ b/src/relay/peer-link.h
@@ -19,6 +19,8 @@
     /// none. `isComplete`: it ran early enough to know of every leave whose target may still be taken for
     /// ready.
     std::function<void(const std::optional<Lifetime>& left, bool isComplete)> onPreviousLeave;
+    /// Another node knows a later era of the store.
+    std::function<void(std::uint64_t era)> onStoreEra;
 };
 
 class PeerLink {
--- a/src/relay/peer-message.cc
+++ b/src/relay/peer-message.cc
@@ -77,6 +77,7 @@
     message.upTo = value["upTo"].asUInt64();
     message.acknowledgedUpTo = value["heardUpTo"].asUInt64();
     message.version = value["version"].asUInt64();
+    message.storeEra = value.get("storeEra", 0).asUInt64();
     message.configuration = value.get("configuration", "").asString();
     return message;
 }
@@ -95,6 +96,8 @@
     value["upTo"] = Json::UInt64(message.upTo);
     value["heardUpTo"] = Json::UInt64(message.acknowledgedUpTo);
     value["version"] = Json::UInt64(message.version);
+    if (message.storeEra > 0)
+        value["storeEra"] = Json::UInt64(message.storeEra);
     if (!message.configuration.empty())
         value["configuration"] = message.configuration;
     return canonicalJson(value);
--- a/src/relay/peer-message.h
+++ b/src/relay/peer-message.h
@@ -20,6 +20,7 @@
     /// Number of the latest change of the receiver that the sender has applied.
     std::uint64_t acknowledgedUpTo = 0;
     RouteVersion version = 0; ///< Version of the sender's configuration.
+    std::uint64_t storeEra = 0; ///< Latest era of the store that the sender knows; 0: none.
     std::string configuration; ///< Set if the receiver is known to have an older one.
 };
 
--- a/src/relay/platform-port.h
+++ b/src/relay/platform-port.h
@@ -19,6 +19,10 @@
 /// Number of a change; consecutive over all objects in the store.
 using StoreRevision = std::uint64_t;
 
+/// Number of times that the store has come back from a copy some seconds old, from a number of its own; 0:
+/// not known. What was written in the lost seconds is gone, and its revisions are given out again.
+using StoreEra = std::uint64_t;
+
 struct StoredItem {
     std::string name;
     StoreRevision revision = 0; ///< Revision of its last change.
@@ -59,6 +63,9 @@
     std::function<void(
         const StoreKind&, StoreRevision, WatchTiming, std::function<void(absl::StatusOr<StoreListing>)>)>
         watch;
+    /// Sets what is called with the era of each response, before the callback of the call. Null if the store
+    /// names no eras.
+    std::function<void(std::function<void(StoreEra)>)> observeEra;
 };
 
 /// A message from the local target about its own state.
--- a/src/relay/relay-node.cc
+++ b/src/relay/relay-node.cc
@@ -93,13 +93,14 @@
            },
               [this](const std::optional<Lifetime>& left, bool isComplete) {
                   onPreviousLeave(left, isComplete);
-              } })
+              },
+              [this](StoreEra era) { storeSync_.applyEra(era); } })
     , storeSync_(state_, port_,
           { [this](const std::string& document) { onConfiguration(document, "store"); },
               [this](const std::vector<Member>& members) { peerLink_.addMembers(members); },
               [this](const std::optional<Lifetime>& left) { onPreviousLeave(left, false); },
-              [this](StoreRevision revision) { onRegistered(revision); },
-              [this] { onStoreReachabilityChanged(); } })
+              [this] { onOutdatedRecord(); }, [this](StoreRevision revision) { onRegistered(revision); },
+              [this] { onStoreReachabilityChanged(); }, [this] { peerLink_.announce(); } })
     , callerListener_(
           loop, std::move(ports.callers),
           [this](const IncomingRequestPtr& incoming) { onCallerRequest(incoming); }, &state_.heldForCallers)
@@ -374,10 +375,11 @@
 void RelayNode::onPreviousLeave(const std::optional<Lifetime>& left, bool isComplete)
 {
     TargetState& target = state_.target;
-    const bool isNew = !target.isRecordRead || (isComplete && !target.isHistoryComplete);
+    const bool isHistory = isComplete || !isRecordOutdated_;
+    const bool isNew = (isHistory && !target.isRecordRead) || (isComplete && !target.isHistoryComplete);
     if (!isNew && (!left || left == target.lastLeft))
         return;
-    target.isRecordRead = true;
+    target.isRecordRead = target.isRecordRead || isHistory;
     target.isHistoryComplete = target.isHistoryComplete || isComplete;
     logEvent(LogLevel::Info, "target-history",
         { { "complete", target.isHistoryComplete }, { "left", left ? left->id : "" } });
@@ -388,6 +390,15 @@
         storeSync_.recordLeave(*target.lastLeft, [] {});
 }
 
+/// The record may lack leaves, and so may what other nodes have read from the store.
+void RelayNode::onOutdatedRecord()
+{
+    isRecordOutdated_ = true;
+    state_.target.isRecordRead = false;
+    logEvent(LogLevel::Info, "node-record-outdated", { { "era", state_.storeEra } });
+    onTargetChanged();
+}
+
 void RelayNode::onRegistered(StoreRevision revision)
 {
     logEvent(LogLevel::Info, "registered", { { "revision", revision } });
--- a/src/relay/relay-node.h
+++ b/src/relay/relay-node.h
@@ -66,6 +66,8 @@
     void onLeave(const IncomingRequestPtr& incoming);
     /// Restores a leave that an earlier process acknowledged. `isComplete`: there is no later one.
     void onPreviousLeave(const std::optional<Lifetime>& left, bool isComplete);
+    /// The record of earlier processes was written before the store came back from a copy.
+    void onOutdatedRecord();
     void onRegistered(StoreRevision revision);
     void onStoreReachabilityChanged();
     /// Treats the target as ready; for targets that send no heartbeats.
@@ -95,6 +97,7 @@
     MemoryTrimmer memoryTrimmer_;
     asio::steady_timer tickTimer_;
     absl::Time stopStartedAt_;
+    bool isRecordOutdated_ = false; ///< See onOutdatedRecord.
     int ticksRefusingCallers_ = 0; ///< Ticks since the node began to reject callers.
     CallbackGuard guard_;
 };
--- a/src/relay/relay-state.h
+++ b/src/relay/relay-state.h
@@ -47,6 +47,7 @@
     LeaseLink* leases = nullptr; ///< Rate limits of customers; set by the node.
     Configuration configuration;
     TargetState target;
+    std::uint64_t storeEra = 0; ///< Latest that is known from the store or another node; see StoreEra.
     bool canReachStore = true; ///< False after repeated failures of calls to the store.
     bool isStopping = false;
     /// When the event loop ends even if requests are pending.
--- a/src/relay/store-sync.cc
+++ b/src/relay/store-sync.cc
@@ -25,14 +25,23 @@
 constexpr absl::Duration kInitialRetryDelay = absl::Milliseconds(200);
 constexpr absl::Duration kMaxRetryDelay = absl::Seconds(1);
 constexpr int kMaxDoublings = 6;
+/// Mean time between two of the registrations that all nodes repeat.
+constexpr absl::Duration kRegistrationSpacing = absl::Milliseconds(10);
+
+/// A node's record in the store.
+struct NodeRecord {
+    Member member;
+    StoreEra era = 0; ///< In which it was written; 0: not known.
+};
 
 /// Decodes a node's record; logs and returns nothing if any part of it is invalid.
-std::optional<Member> decodeMember(const StoredItem& item)
+std::optional<NodeRecord> decodeRecord(const StoredItem& item)
 {
     std::vector<Finding> findings;
     const JsonSource source { item.name, item.content, &findings };
     const auto value = parseJson(source);
-    Member member;
+    NodeRecord record;
+    Member& member = record.member;
     if (value) {
         JsonReader reader(source, *value, "");
         member.peerAddress = reader.address("address", "");
@@ -42,6 +51,8 @@
         member.leftTarget = reader.text("leftTarget", "");
         member.leftStartedAt = static_cast<std::uint64_t>(
             reader.integer("leftStartedAt", 0, 0, std::numeric_limits<std::int64_t>::max()));
+        record.era = static_cast<StoreEra>(
+            reader.integer("storeEra", 0, 0, std::numeric_limits<std::int64_t>::max()));
         if (member.peerAddress.empty())
             reader.addFinding("address", "is missing");
         if (member.leftTarget.empty() != (member.leftStartedAt == 0))
@@ -54,7 +65,7 @@
     }
     member.incarnation = item.revision;
     member.isServing = false; // Until its first message reports a ready target.
-    return member;
+    return record;
 }
 
 } // namespace
@@ -69,6 +80,8 @@
 
 void StoreSync::start()
 {
+    if (port_.store.observeEra)
+        port_.store.observeEra(guard_.wrap([this](StoreEra era) { applyEra(era); }));
     registerNode();
     if (state_.settings.watchers == 0)
         startFollowing();
@@ -76,6 +89,23 @@
         runAfter(kRegistrationTime, [this] { startFollowing(); });
 }
 
+void StoreSync::applyEra(StoreEra era)
+{
+    if (era <= state_.storeEra)
+        return;
+    const StoreEra before = std::exchange(state_.storeEra, era);
+    if (before == 0)
+        return;
+    logEvent(LogLevel::Warning, "store-restored", { { "era", era }, { "before", before } });
+    storedLeave_.reset();
+    scheduleRegistration();
+    // Changes may have been given revisions that the watch takes for reported.
+    ++followRun_;
+    if (isFollowing_)
+        followConfiguration();
+    events_.onRestored();
+}
+
 void StoreSync::runAfter(absl::Duration delay, std::function<void()> step)
 {
     auto timer = std::make_shared<asio::steady_timer>(state_.loop, absl::ToChronoMicroseconds(delay));
@@ -129,14 +159,16 @@
 {
     Member self = localMember(state_);
     const auto replaced
-        = previous.empty() ? std::nullopt : decodeMember({ state_.settings.process, 0, previous, false });
-    if (replaced && replaced->peerAddress == self.peerAddress) // Nodes may share a record.
-        keepNewerLeave(self, *replaced);
+        = previous.empty() ? std::nullopt : decodeRecord({ state_.settings.process, 0, previous, false });
+    if (replaced && replaced->member.peerAddress == self.peerAddress) // Nodes may share a record.
+        keepNewerLeave(self, replaced->member);
     Json::Value value;
     value["address"] = self.peerAddress;
     value["service"] = self.service;
     value["dataCentre"] = self.dataCentre;
     value["run"] = runId_;
+    if (state_.storeEra > 0)
+        value["storeEra"] = Json::UInt64(state_.storeEra);
     if (!self.operatorAddress.empty())
         value["operator"] = self.operatorAddress;
     if (!self.leftTarget.empty()) {
@@ -154,19 +186,39 @@
         [this, written, lifetime = guard_.lifetime()](const std::string& previous) {
             return lifetime.expired() ? previous : *written = encodeNodeRecord(previous);
         },
-        guard_.wrap([this, written, done = std::move(done)](const absl::StatusOr<StoredItem>& stored) {
+        guard_.wrap([this, written, era = state_.storeEra, done = std::move(done)](
+                        const absl::StatusOr<StoredItem>& stored) {
             if (stored.ok()) {
-                const auto record = decodeMember({ state_.settings.process, 0, *written, false });
-                storedLeave_ = record && !record->leftTarget.empty()
-                    ? std::optional(Lifetime { record->leftTarget, record->leftStartedAt })
+                const auto record = decodeRecord({ state_.settings.process, 0, *written, false });
+                const bool mayBeLost = era != 0 && era != state_.storeEra;
+                storedLeave_ = record && !record->member.leftTarget.empty() && !mayBeLost
+                    ? std::optional(Lifetime { record->member.leftTarget, record->member.leftStartedAt })
                     : std::nullopt;
+                // A record that tells no era can't be told from one of a copy later.
+                isRegistrationDue_ = isRegistrationDue_ || (record && record->era < state_.storeEra);
             }
             done(stored);
         }));
 }
 
+void StoreSync::scheduleRegistration()
+{
+    isRegistrationDue_ = true;
+    if (isRegistering_)
+        return;
+    const auto members = static_cast<double>(state_.decisions.membership.members.size());
+    const double share = static_cast<double>(state_.decisions.generator() >> 11U) * 0x1p-53;
+    const bool hasLeave = state_.target.lastLeft.has_value();
+    runAfter(hasLeave ? absl::ZeroDuration() : kRegistrationSpacing * members * share, [this] {
+        if (isRegistrationDue_ && !isRegistering_)
+            registerNode();
+    });
+}
+
 void StoreSync::registerNode()
 {
+    isRegistering_ = true;
+    isRegistrationDue_ = false;
     updateNodeRecord([this, startedAt = steadyNow()](const absl::StatusOr<StoredItem>& stored) {
         recordCall("register", startedAt, stored.status());
         if (!stored.ok()) {
@@ -174,27 +226,41 @@
             return;
         }
         nodeFailures_ = 0;
+        isRegistering_ = false;
         recordSuccess(stored->revision);
-        registeredRevision_ = stored->revision;
-        applyPreviousRecord(*stored);
-        onRecordWritten();
-        listNodes(0);
+        onRegistration(*stored);
     });
 }
 
+void StoreSync::onRegistration(const StoredItem& stored)
+{
+    const bool isFirst = registeredRevision_ == 0;
+    registeredRevision_ = stored.revision;
+    applyPreviousRecord(stored, isFirst);
+    if (isFirst) // Later, the other nodes are known.
+        listNodes(0);
+    if (isRegistrationDue_)
+        registerNode();
+    else
+        onRecordWritten();
+}
+
 /// Applies the record that the registration replaced. One that can't be decoded leaves the history unknown.
-void StoreSync::applyPreviousRecord(const StoredItem& stored)
+void StoreSync::applyPreviousRecord(const StoredItem& stored, bool isOfEarlierProcess)
 {
     const bool isFirst = stored.content.empty();
-    const auto previous = isFirst ? std::nullopt : decodeMember({ stored.name, 0, stored.content, false });
+    const auto record = isFirst ? std::nullopt : decodeRecord({ stored.name, 0, stored.content, false });
+    const Member* previous = record ? &record->member : nullptr;
     std::optional<Lifetime> left;
-    if (previous && !previous->leftTarget.empty())
+    if (previous != nullptr && !previous->leftTarget.empty())
         left = Lifetime { previous->leftTarget, previous->leftStartedAt };
-    if (isFirst || previous)
+    if (isOfEarlierProcess && record && record->era != 0 && record->era < state_.storeEra)
+        events_.onOutdatedRecord();
+    if (isFirst || previous != nullptr)
         events_.onPreviousLeave(left);
     events_.onRegistered(stored.revision);
     // If nodes share a record, the replaced content describes another node.
-    if (previous && previous->peerAddress != state_.decisions.membership.self)
+    if (previous != nullptr && previous->peerAddress != state_.decisions.membership.self)
         events_.onMembers({ *previous });
 }
 
@@ -218,9 +284,9 @@
 {
     std::vector<Member> members;
     for (const StoredItem& item : listing.items) {
-        const auto member = item.isDeleted ? std::nullopt : decodeMember(item);
-        if (member && member->peerAddress != state_.decisions.membership.self)
-            members.push_back(*member);
+        const auto record = item.isDeleted ? std::nullopt : decodeRecord(item);
+        if (record && record->member.peerAddress != state_.decisions.membership.self)
+            members.push_back(record->member);
     }
     events_.onMembers(members);
     startFollowing();
@@ -232,7 +298,9 @@
 {
     pendingLeaves_.push_back({ left, std::move(onStored) });
     // The registration writes the leave as well.
-    if (registeredRevision_ > 0 && !isWritingLeave_)
+    if (isRegistrationDue_ && !isRegistering_)
+        registerNode();
+    else if (registeredRevision_ > 0 && !isWritingLeave_ && !isRegistering_)
         onRecordWritten();
 }
 
@@ -297,22 +365,34 @@
     if (isWatcher() || needsFallback)
         listConfiguration();
     else
-        runAfter(kWatcherCheckInterval, [this] { followConfiguration(); });
+        runAfter(kWatcherCheckInterval, unlessRestarted([this] { followConfiguration(); }));
+}
+
+std::function<void()> StoreSync::unlessRestarted(std::function<void()> step)
+{
+    return [this, run = followRun_, step = std::move(step)] {
+        if (run == followRun_)
+            step();
+    };
 }
 
 void StoreSync::listConfiguration()
 {
     port_.store.list(port_.configurationKind, ReadConsistency::Latest,
-        guard_.wrap([this, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
-            recordCall("list-configuration", startedAt, listing.status());
-            nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
-            if (!listing.ok()) {
-                retryLater(configurationFailures_, listing.status(), [this] { followConfiguration(); });
-                return;
-            }
-            onListing(*listing);
-            watchConfiguration(listing->revision, true);
-        }));
+        guard_.wrap(
+            [this, run = followRun_, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+                recordCall("list-configuration", startedAt, listing.status());
+                if (run != followRun_)
+                    return;
+                nextFallbackRead_ = steadyNow() + kPeerConfigurationTime;
+                if (!listing.ok()) {
+                    retryLater(configurationFailures_, listing.status(),
+                        unlessRestarted([this] { followConfiguration(); }));
+                    return;
+                }
+                onListing(*listing);
+                watchConfiguration(listing->revision, true);
+            }));
 }
 
 void StoreSync::watchConfiguration(StoreRevision after, bool isAligned)
@@ -323,18 +403,22 @@
     }
     port_.store.watch(port_.configurationKind, after,
         planWatch(state_.decisions.membership, watcherOptions(), isAligned),
-        guard_.wrap([this, after, startedAt = steadyNow()](const absl::StatusOr<StoreListing>& listing) {
+        guard_.wrap([this, after, run = followRun_, startedAt = steadyNow()](
+                        const absl::StatusOr<StoreListing>& listing) {
             recordCall("watch", startedAt, listing.status());
+            if (run != followRun_)
+                return;
             if (listing.ok()) {
                 onListing(*listing);
                 watchConfiguration(std::max(after, listing->revision), !listing->items.empty());
                 return;
             }
+            // After a failure, the revision may be of an earlier era.
             if (absl::IsOutOfRange(listing.status()))
                 listConfiguration();
             else
                 retryLater(configurationFailures_, listing.status(),
-                    [this, after] { watchConfiguration(after, false); });
+                    unlessRestarted([this] { followConfiguration(); }));
         }));
 }
 
--- a/src/relay/store-sync.h
+++ b/src/relay/store-sync.h
@@ -20,10 +20,15 @@
     /// The last leave that the store has recorded for an earlier process of this node; empty if there is
     /// none. Later ones may have been acknowledged while the store was away.
     std::function<void(const std::optional<Lifetime>& left)> onPreviousLeave;
+    /// The record of earlier processes was written before the store came back from a copy, so it may lack
+    /// leaves. Called before onPreviousLeave.
+    std::function<void()> onOutdatedRecord;
     /// The revision under which this node is registered now.
     std::function<void(StoreRevision revision)> onRegistered;
     /// RelayState::canReachStore changed.
     std::function<void()> onReachabilityChanged;
+    /// RelayState::storeEra has risen: the store came back from a copy.
+    std::function<void()> onRestored;
 };
 
 class StoreSync {
@@ -34,6 +39,8 @@
     /// Makes the store hold the newest leave of the local target, or a later one. `onStored` is called once
     /// it does.
     void recordLeave(const Lifetime& left, std::function<void()> onStored);
+    /// Writes and reads again what the store may have lost, if this era is later than the one known.
+    void applyEra(StoreEra era);
 
 private:
     /// A leave that the store does not hold yet.
@@ -43,7 +50,10 @@
     };
 
     void registerNode();
-    void applyPreviousRecord(const StoredItem& stored);
+    void onRegistration(const StoredItem& stored);
+    /// Registers the node again. Without a leave to be written, at a random time, as all nodes do so.
+    void scheduleRegistration();
+    void applyPreviousRecord(const StoredItem& stored, bool isOfEarlierProcess);
     void writeLeave();
     bool isStored(const Lifetime& left) const;
     /// Reports the leaves that the store holds now and writes the others.
@@ -57,6 +67,8 @@
     /// Reads and watches the configuration if this node is one of the watchers (see RelaySettings::watchers),
     /// else checks again later. A node that gets no configuration from others reads it as well.
     void followConfiguration();
+    /// Runs `step` unless the configuration is followed anew meanwhile.
+    std::function<void()> unlessRestarted(std::function<void()> step);
     void listConfiguration();
     /// See planWatch for `isAligned`.
     void watchConfiguration(StoreRevision after, bool isAligned);
@@ -83,6 +95,9 @@
     std::optional<Lifetime> storedLeave_; ///< Newest leave that the store is known to hold.
     std::vector<PendingLeave> pendingLeaves_;
     bool isWritingLeave_ = false;
+    bool isRegistering_ = false;
+    bool isRegistrationDue_ = false; ///< The registration may be lost or incomplete.
+    unsigned followRun_ = 0; ///< Number of times that following the configuration began anew.
     int nodeFailures_ = 0; ///< Consecutive, as the two counters below.
     int configurationFailures_ = 0;
     int storeFailures_ = 0; ///< Of all calls to the store.
--- a/test/restored-store-test.cc
+++ b/test/restored-store-test.cc
@@ -106,7 +106,8 @@
                            }) };
     std::vector<std::unique_ptr<TestNode>> nodes;
     std::vector<std::unique_ptr<platform::ObjectStore>> clients;
-    std::uint64_t startedAt = absl::ToUnixMillis(absl::Now());
+    /// Long before the nodes, so that the start of the target proves nothing about leaves.
+    std::uint64_t startedAt = absl::ToUnixMillis(absl::Now() - absl::Hours(1));
 };
 
 struct RevisionRow {
