Fail an exchange whose response has a status below 100

What callers saw: a target answered with status 000; the call waited until its time limit, and a response behind it on the connection was taken for the answer (200).

Cause: the parser accepts three digits of any value, and all below 200 were skipped as interim responses.

Evidence: malformed-status-test, 120 cases, 24 failed before (000 and 099, at targets, over another node, at jackdaw-node and in the client alone). The other statuses and a reset early response held before.

--- a/src/relay/upstream.cc
+++ b/src/relay/upstream.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxUnparsedBytes = 128U << 10;
 /// Share of the announced idle timeout during which a connection is reused.
 constexpr double kKeepAliveShare = 0.7;
+/// The parser accepts any three digits.
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 /// An exchange that is cancelled after this time without a byte of the response casts doubt on the idle
 /// connections to the same endpoint.
@@ -227,6 +229,11 @@
 {
     const bool keepsConnection = parser_->keep_alive();
     response_ = parser_->release();
+    if (response_.result_int() < kFirstStatus) {
+        isReusable_ = false;
+        finish(ExchangeStatus::Malformed);
+        return true;
+    }
     if (response_.result_int() < kFirstFinalStatus) {
         if (++interimResponses_ <= kMaxInterimResponses)
             return false;
