Mark the calls without an alternative instead of the others

Most calls of a service have another target that may have room, and each carried a header that said so between nodes. Now the few without one do. No change of behaviour: target-statement-test, target-rate-test and the process tests pass.

--- a/src/relay/hop-wire.cc
+++ b/src/relay/hop-wire.cc
@@ -95,11 +95,11 @@
     setHeader(head, kArrivalsHeader, absl::StrCat(call.arrivals));
     setHeader(head, kCallerHeader, context.caller);
     removeHeaders( // Of the client.
-        head, { kCustomerHeader, kRunCustomerHeader, kStatementHeader, kAlternativeHeader });
+        head, { kCustomerHeader, kRunCustomerHeader, kStatementHeader, kNoAlternativeHeader });
     if (call.statement)
         setHeader(head, kStatementHeader, encodeStatement(*call.statement, now));
-    if (call.hasAlternative)
-        setHeader(head, kAlternativeHeader, "1");
+    if (!call.hasAlternative)
+        setHeader(head, kNoAlternativeHeader, "1");
     if (!context.customer.empty())
         setHeader(head, context.isCustomerOfRun ? kRunCustomerHeader : kCustomerHeader, context.customer);
     if (hasNonDefaultChain(context))
@@ -139,11 +139,11 @@
     hop.call.arrivals = static_cast<int>(integerHeader(request, kArrivalsHeader, 0));
     hop.call.latencyObjective = absl::Milliseconds(integerHeader(request, kLatencyObjectiveHeader, 0));
     hop.call.statement = decodeStatement(headerValue(request, kStatementHeader), now);
-    hop.call.hasAlternative = headerValue(request, kAlternativeHeader) == "1";
+    hop.call.hasAlternative = headerValue(request, kNoAlternativeHeader).empty();
     removeHeaders(request,
         { kServiceHeader, kRouteHeader, kPriorityHeader, kIdempotentHeader, kRemainingTimeHeader,
             kLatencyObjectiveHeader, kArrivalsHeader, kCallerHeader, kCustomerHeader, kRunCustomerHeader,
-            kChainHeader, kStatementHeader, kAlternativeHeader });
+            kChainHeader, kStatementHeader, kNoAlternativeHeader });
     hop.call.request = std::make_shared<const Request>(std::move(request));
     return hop;
 }
--- a/src/relay/names.h
+++ b/src/relay/names.h
@@ -51,7 +51,7 @@
 /// What the target has said of itself (TargetStatement). On responses as its node knows it, on calls as the
 /// caller's node knows it.
 inline constexpr char kStatementHeader[] = "Jackdaw-Hop-Statement";
-inline constexpr char kAlternativeHeader[] = "Jackdaw-Hop-Alternative"; ///< See GateCall::hasAlternative.
+inline constexpr char kNoAlternativeHeader[] = "Jackdaw-Hop-Last"; ///< See GateCall::hasAlternative.
 inline constexpr char kRetryAfterHeader[] = "Jackdaw-Hop-Retry-Ms"; ///< See CallFeedback::retryAfter.
 inline constexpr char kMembershipUpdateHeader[] = "Jackdaw-Hop-News"; ///< Marks a membership message.
 inline constexpr char kLeaseHeader[] = "Jackdaw-Hop-Lease"; ///< Marks lease requests of a node.
