--- a/test/target-statement-test.cc
+++ b/test/target-statement-test.cc
@@ -42,6 +42,7 @@
     std::vector<unsigned> callAtOnce()
     {
         std::vector<std::shared_ptr<std::optional<ExchangeResult>>> results;
+        results.reserve(kCalls);
         for (int index = 0; index < kCalls; ++index)
             results.push_back(forwarding.send(
                 forwarding.settings.callerAddress, callerRequest(http::verb::get, "/read/1", "r")));
