Let a call start at once when a limit is adopted from another node

Callers would wait up to 1 / limit after a restart of the target's node, also if the limit has ended meanwhile: only a response tells, and the bucket began empty. It begins with one token now. The bound holds: the token is within the bucket's depth. costKey moves to the module of CostKey, and one function removes refused calls. target-rate-test, target-statement-test and the admission tests pass.

--- a/include/jackdawwall/admission.h
+++ b/include/jackdawwall/admission.h
@@ -177,7 +177,4 @@
 /// Number of calls in progress at the target.
 int inFlight(const AdmissionState& state);
 
-/// Cost key of a work kind and a declared body size in bytes.
-CostKey costKey(absl::string_view kind, std::uint64_t bodyBytes);
-
 } // namespace jackdawwall
--- a/include/jackdawwall/concurrency-limit.h
+++ b/include/jackdawwall/concurrency-limit.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 #include <cstdint>
@@ -14,6 +15,9 @@
 /// Hash of work kind and size bucket.
 using CostKey = std::uint64_t;
 
+/// Cost key of a work kind and a declared body size in bytes.
+CostKey costKey(absl::string_view kind, std::uint64_t bodyBytes);
+
 struct LimitOptions {
     double initial = 8; ///< Calls.
     double minimum = 2; ///< Calls.
--- a/include/jackdawwall/target-rate.h
+++ b/include/jackdawwall/target-rate.h
@@ -31,7 +31,8 @@
 /// it, and is applied only if it lowers the limit.
 RateChange recordNamedRate(TargetRate& rate, std::optional<double> named, absl::Time sentAt, absl::Time now);
 
-/// Applies what another node observed at `observedAt`, unless a later response is known here.
+/// Applies what another node observed at `observedAt`, unless a later response is known here. A call may
+/// start at once, as its response tells whether the limit is still named.
 RateChange adoptNamedRate(TargetRate& rate, double named, absl::Time observedAt, absl::Time now);
 
 /// Adds the tokens gained since the last call.
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -1,7 +1,5 @@
 #include "jackdawwall/admission.h"
 
-#include "absl/strings/string_view.h"
-
 #include <algorithm>
 #include <cmath>
 #include <optional>
@@ -16,8 +14,6 @@
 constexpr double kNewCallWaitShare = 0.8;
 constexpr double kMeanWeight = 0.02;
 constexpr double kDemandWeight = 0.3;
-constexpr std::uint64_t kMaximumSmallBodyBytes = 64ULL << 10;
-constexpr std::uint64_t kMaximumMediumBodyBytes = 1ULL << 20;
 
 double expectedSeconds(const AdmissionState& state, CostKey cost)
 {
@@ -70,11 +66,16 @@
     return std::max(longCallLimit(state), static_cast<int>(std::min(desired, maximum)));
 }
 
+/// True if the limits on all calls let another one start.
+bool hasSlotAndToken(const AdmissionState& state)
+{
+    return inFlight(state) < currentLimit(state.limit)
+        && timeUntilStart(state.rate, 0) == absl::ZeroDuration();
+}
+
 bool hasCapacity(const AdmissionState& state, const OfferedCall& call, bool isLong)
 {
-    if (inFlight(state) >= currentLimit(state.limit) || !mayStart(state.downstream, call.cost))
-        return false;
-    if (timeUntilStart(state.rate, 0) > absl::ZeroDuration())
+    if (!hasSlotAndToken(state) || !mayStart(state.downstream, call.cost))
         return false;
     return !isLong || state.longInFlight < longCallLimit(state, call.priority);
 }
@@ -203,9 +204,7 @@
     const AdmissionState& state, const OfferedCall& call, std::size_t ahead, absl::Duration longestWait)
 {
     const absl::Duration wait = timeUntilStart(state.rate, ahead);
-    if (wait == absl::ZeroDuration())
-        return false;
-    return call.hasAlternative || wait > longestWait;
+    return wait > absl::ZeroDuration() && (call.hasAlternative || wait > longestWait);
 }
 
 /// A call whose rank is above the admitted fraction is still accepted while waits are short, because upstream
@@ -247,7 +246,7 @@
 /// First queued call that may start now; the end of the queue if there is none.
 absl::btree_set<QueuePosition>::iterator nextStartable(AdmissionState& state)
 {
-    if (inFlight(state) >= currentLimit(state.limit) || timeUntilStart(state.rate, 0) > absl::ZeroDuration())
+    if (!hasSlotAndToken(state))
         return state.queue.end();
     std::array<bool, kPriorityCount> isLongLimitReached {};
     for (std::size_t index = 0; index < kPriorityCount; ++index)
@@ -291,6 +290,13 @@
     }
 }
 
+/// Removes the calls that `update` refuses from index `first` on.
+void removeRefused(AdmissionState& state, const QueueUpdate& update, std::size_t first)
+{
+    for (std::size_t index = first; index < update.refused.size(); ++index)
+        removeWaiting(state, update.refused[index].id);
+}
+
 void refuseExpired(AdmissionState& state, absl::Time now, QueueUpdate& update)
 {
     const std::size_t before = update.refused.size();
@@ -299,8 +305,7 @@
         if (reason != Reason::None)
             update.refused.push_back({ id, reason });
     }
-    for (std::size_t index = before; index < update.refused.size(); ++index)
-        removeWaiting(state, update.refused[index].id);
+    removeRefused(state, update, before);
 }
 
 /// Refuses the queued calls that the rate of the target leaves no room for.
@@ -309,19 +314,16 @@
     if (!state.rate.callsPerSecond)
         return;
     std::size_t ahead = 0;
-    std::vector<CallId> over;
+    const std::size_t before = update.refused.size();
     for (const QueuePosition& position : state.queue) {
         const WaitingCall& waiting = state.waiting.at(position.id);
         const absl::Duration longestWait = waitLimit(state, waiting.call) - (now - waiting.enqueuedAt);
         if (isOverRate(state, waiting.call, ahead, longestWait))
-            over.push_back(position.id);
+            update.refused.push_back({ position.id, Reason::TargetLimit });
         else
             ++ahead;
     }
-    for (const CallId id : over) {
-        removeWaiting(state, id);
-        update.refused.push_back({ id, Reason::TargetLimit });
-    }
+    removeRefused(state, update, before);
 }
 
 absl::Duration meanWait(const AdmissionState& state, absl::Time now)
@@ -505,12 +507,4 @@
     return static_cast<int>(state.running.size());
 }
 
-CostKey costKey(absl::string_view kind, std::uint64_t bodyBytes)
-{
-    std::uint64_t bucket = 0;
-    if (bodyBytes > kMaximumSmallBodyBytes)
-        bucket = bodyBytes > kMaximumMediumBodyBytes ? 2 : 1;
-    return mixBits(stableHash(kind) + bucket);
-}
-
 } // namespace jackdawwall
--- a/src/concurrency-limit.cc
+++ b/src/concurrency-limit.cc
@@ -1,5 +1,7 @@
 #include "jackdawwall/concurrency-limit.h"
 
+#include "jackdawwall/core.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,6 +29,8 @@
 constexpr double kProvenDecay = 0.995;
 constexpr double kProvenFloor = 0.5;
 constexpr std::size_t kMaximumKinds = 1024;
+constexpr std::uint64_t kMaximumSmallBodyBytes = 64ULL << 10;
+constexpr std::uint64_t kMaximumMediumBodyBytes = 1ULL << 20;
 
 void updateBase(KindTimes& times, double seconds)
 {
@@ -214,6 +218,14 @@
     return state.isProbing ? state.limitBeforeProbe : state.limit;
 }
 
+CostKey costKey(absl::string_view kind, std::uint64_t bodyBytes)
+{
+    std::uint64_t bucket = 0;
+    if (bodyBytes > kMaximumSmallBodyBytes)
+        bucket = bodyBytes > kMaximumMediumBodyBytes ? 2 : 1;
+    return mixBits(stableHash(kind) + bucket);
+}
+
 double typicalSeconds(const LimitState& state, CostKey key, double fallback)
 {
     const auto found = state.kindTimes.find(key);
--- a/src/target-rate.cc
+++ b/src/target-rate.cc
@@ -64,7 +64,10 @@
     if (observedAt <= rate.observedAt)
         return RateChange::None;
     rate.observedAt = observedAt;
-    return setRate(rate, named, now);
+    const RateChange change = setRate(rate, named, now);
+    if (change == RateChange::Started)
+        rate.tokens = 1;
+    return change;
 }
 
 void refill(TargetRate& rate, absl::Time now)
