Remove an unused function from the fixture for processes

logLines had no caller, a comment named a constant that does not exist, and two includes were not needed.

--- a/test/process-fleet.h
+++ b/test/process-fleet.h
@@ -8,8 +8,7 @@
 
 #include "absl/time/clock.h"
 
-#include <array>
-#include <cmath>
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <vector>
@@ -88,7 +87,7 @@
 
 class ProcessFleet {
 public:
-    /// Starts one node for each name of a service, and waits until calls to `kService` are answered.
+    /// Starts one node for each name of a service, and waits until calls to "books" are answered.
     explicit ProcessFleet(const std::vector<std::string>& services)
         : store(loop)
         , reserved_(loop)
@@ -165,20 +164,6 @@
         runUntil(loop, [&] { return pendingCalls_ == 0; });
     }
 
-    /// The lines of all logs that contain `text`.
-    std::vector<std::string> logLines(absl::string_view text) const
-    {
-        std::vector<std::string> lines;
-        for (const auto& file : std::filesystem::directory_iterator(folder_)) {
-            std::ifstream in(file.path());
-            for (std::string line; std::getline(in, line);) {
-                if (file.path().extension() == ".log" && absl::StrContains(line, text))
-                    lines.push_back(line);
-            }
-        }
-        return lines;
-    }
-
 private:
     struct Node {
         std::string name;
